--- a/src/main/java/ochreyoke/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -1,4 +1,4 @@
-package ochreyoke;
+package magpiehub;
 
 import java.io.IOException;
 
@@ -11,7 +11,7 @@
     /** Runs a command; exit status 0 on success, 1 on malformed input, 2 on wrong usage. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar ochreyoke.jar drill");
+            System.err.println("usage: java -jar magpiehub.jar drill");
             System.exit(2);
         }
         WarmUp.run();
--- a/src/main/java/ochreyoke/Rules.java
+++ b/src/main/java/magpiehub/Rules.java
@@ -1,4 +1,4 @@
-package ochreyoke;
+package magpiehub;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import ochreyoke.Contract.*;
-import ochreyoke.State.*;
+import magpiehub.Contract.*;
+import magpiehub.State.*;
 
 /**
  * The decision module, one per node. What it deals in, its types, events and actions, is in Contract.java.
--- a/src/main/java/ochreyoke/State.java
+++ b/src/main/java/magpiehub/State.java
@@ -1,9 +1,9 @@
-package ochreyoke;
+package magpiehub;
 
 import java.util.ArrayList;
 import java.util.List;
-import ochreyoke.Contract.Request;
-import ochreyoke.Contract.Server;
+import magpiehub.Contract.Request;
+import magpiehub.Contract.Server;
 
 /** What the decision module remembers: plain fields that only {@link Rules} reads and writes,
  * and the handling of a deque. */
--- a/src/main/java/ochreyoke/WarmUp.java
+++ b/src/main/java/magpiehub/WarmUp.java
@@ -1,4 +1,4 @@
-package ochreyoke;
+package magpiehub;
 
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
--- a/src/test/java/ochreyoke/Bench.java
+++ b/src/test/java/magpiehub/Bench.java
@@ -1,23 +1,23 @@
-package ochreyoke;
+package magpiehub;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import ochreyoke.Contract.Costs;
-import ochreyoke.Contract.Effect;
-import ochreyoke.Contract.Group;
-import ochreyoke.Contract.Guarantees;
-import ochreyoke.Contract.Limits;
-import ochreyoke.Contract.ListKind;
-import ochreyoke.Contract.Outcome;
-import ochreyoke.Contract.Request;
-import ochreyoke.Contract.RequestClass;
-import ochreyoke.Contract.Server;
-import ochreyoke.Contract.Settings;
-import ochreyoke.Contract.State;
-import ochreyoke.Contract.Tenant;
-import ochreyoke.Contract.Weights;
+import magpiehub.Contract.Costs;
+import magpiehub.Contract.Effect;
+import magpiehub.Contract.Group;
+import magpiehub.Contract.Guarantees;
+import magpiehub.Contract.Limits;
+import magpiehub.Contract.ListKind;
+import magpiehub.Contract.Outcome;
+import magpiehub.Contract.Request;
+import magpiehub.Contract.RequestClass;
+import magpiehub.Contract.Server;
+import magpiehub.Contract.Settings;
+import magpiehub.Contract.State;
+import magpiehub.Contract.Tenant;
+import magpiehub.Contract.Weights;
 
 /** One node under test: feeds events, records actions. Times are in microseconds. */
 final class Bench implements Contract.Actions {
--- a/src/test/java/ochreyoke/DrillTest.java
+++ b/src/test/java/magpiehub/DrillTest.java
@@ -1,4 +1,4 @@
-package ochreyoke;
+package magpiehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/ochreyoke/EmbeddingExampleTest.java
+++ b/src/test/java/magpiehub/EmbeddingExampleTest.java
@@ -1,11 +1,11 @@
-package ochreyoke;
+package magpiehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import ochreyoke.Contract.ListKind;
-import ochreyoke.Contract.Outcome;
-import ochreyoke.Contract.Request;
+import magpiehub.Contract.ListKind;
+import magpiehub.Contract.Outcome;
+import magpiehub.Contract.Request;
 import org.junit.jupiter.api.Test;
 
 /** The README's embedding example, compiled and run: one request from its coming to its answer. */
--- a/src/test/java/ochreyoke/RandomEventsTest.java
+++ b/src/test/java/magpiehub/RandomEventsTest.java
@@ -1,4 +1,4 @@
-package ochreyoke;
+package magpiehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,15 +12,15 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import ochreyoke.Contract.Effect;
-import ochreyoke.Contract.Group;
-import ochreyoke.Contract.ListKind;
-import ochreyoke.Contract.Outcome;
-import ochreyoke.Contract.Request;
-import ochreyoke.Contract.RequestClass;
-import ochreyoke.Contract.Server;
-import ochreyoke.Contract.State;
-import ochreyoke.Contract.Tenant;
+import magpiehub.Contract.Effect;
+import magpiehub.Contract.Group;
+import magpiehub.Contract.ListKind;
+import magpiehub.Contract.Outcome;
+import magpiehub.Contract.Request;
+import magpiehub.Contract.RequestClass;
+import magpiehub.Contract.Server;
+import magpiehub.Contract.State;
+import magpiehub.Contract.Tenant;
 import org.junit.jupiter.api.Test;
 
 /** Seeded random events over many settings, with the rules checked after each action. */
--- a/src/test/java/ochreyoke/RulesTest.java
+++ b/src/test/java/magpiehub/RulesTest.java
@@ -1,4 +1,4 @@
-package ochreyoke;
+package magpiehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -10,11 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import ochreyoke.Contract.Effect;
-import ochreyoke.Contract.Group;
-import ochreyoke.Contract.ListKind;
-import ochreyoke.Contract.Outcome;
-import ochreyoke.Contract.State;
+import magpiehub.Contract.Effect;
+import magpiehub.Contract.Group;
+import magpiehub.Contract.ListKind;
+import magpiehub.Contract.Outcome;
+import magpiehub.Contract.State;
 import org.junit.jupiter.api.Test;
 
 /** The ordinary path step by step, and each exception to it. */
