--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -1,21 +1,103 @@
 package magpiehub;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import magpiehub.config.Config;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+import magpiehub.front.PlatformFront;
+import magpiehub.net.Clients;
+import magpiehub.net.Discovery;
+import magpiehub.net.Engines;
+import magpiehub.ops.Log;
+import magpiehub.sim.Drill;
+import magpiehub.sim.WarmUp;
 
-/** The command line: {@code drill} speaks the simulator's wire on standard input and output. */
+/**
+ * The command line and the wiring: {@code serve} runs one router, {@code adapter} speaks the simulator's wire
+ * on standard input and output. It owns the order of start and end. It must never hold logic of its own.
+ */
 public final class Main {
+    /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
+    private static final int OTHER_DESCRIPTORS = 64;
+    /** After SIGTERM: how long new connections are accepted and idle ones kept (ms). */
+    private static final long HAND_OVER_MS = 600;
 
     private Main() {
     }
 
-    /** Runs a command; exit status 0 on success, 1 on malformed input, 2 on wrong usage. */
+    /** Runs a command; exit status 0 on success, 1 on malformed input or configuration, 2 on wrong usage. */
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar magpiehub.jar drill");
+        if (args.length == 1 && args[0].equals("adapter")) {
+            WarmUp.run();
+            System.exit(new Drill(System.in, System.out, System.err).run());
+        } else if (args.length == 1 && args[0].equals("serve")) {
+            try {
+                serve(Config.router(System.getenv()));
+            } catch (IOException | Config.Malformed e) {
+                System.err.println("magpiehub: " + e.getMessage());
+                System.exit(1);
+            }
+        } else {
+            System.err.println("usage: java -jar magpiehub.jar serve|adapter");
             System.exit(2);
         }
+    }
+
+    private static InetSocketAddress socketAddress(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        return new InetSocketAddress(hostPort.substring(0, colon),
+                Integer.parseInt(hostPort.substring(colon + 1)));
+    }
+
+    private static void serve(Config.Router r) throws IOException {
+        Log log = new Log(System.err, r.name(), ProcessHandle.current().pid());
+        log.start();
+        Mailbox.Clock clock = Mailbox.Clock.SYSTEM;
+        int share = Math.max(8, (r.sockets() - OTHER_DESCRIPTORS) / 2);
+        Engines engines = new Engines(r.site().settings().limits().connectTimeout(),
+                r.site().idleClose(), share,
+                clock, log);
+        Discovery discovery = new Discovery(r.discovery(), r.site(), engines, clock, log);
+        ModuleActor module = new ModuleActor(r.site().settings(), r.seed(), clock, engines, discovery, log);
+        engines.module(module);
+        Supplier<String> counters = log::counters;
+        AtomicBoolean warm = new AtomicBoolean();
+        Clients clients = new Clients(socketAddress(r.listen()), new PlatformFront(r.site()), module,
+                clock, log,
+                () -> warm.get() && discovery.known(), counters, share * 15 / 16 - 4);
+        clients.start();
+        discovery.start(module, r.known());
+        Mailbox.thread("module", module::run).start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(clients, module, log)));
         WarmUp.run();
-        int status = new Drill(System.in, System.out, System.err).run();
-        System.exit(status);
+        warm.set(true);
+        log.log("started", "listen", r.listen());
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** SIGTERM: new connections for the hand-over, then only what is held, then the counters and the end. */
+    private static void stop(Clients clients, ModuleActor module, Log log) {
+        try {
+            log.log("stopping", "held", Integer.toString(module.held()));
+            clients.announceClosing();
+            Thread.sleep(HAND_OVER_MS);
+            clients.stopAccepting();
+            while (clients.open() > 0) {
+                Thread.sleep(5);
+            }
+        } catch (IOException | InterruptedException e) {
+            log.log("stop-failed", "error", e.toString());
+        } finally {
+            log.logCounters();
+            log.log("stopped", "held", Integer.toString(module.held()));
+            log.flush();
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/magpiehub/config/Config.java
@@ -0,0 +1,412 @@
+package magpiehub.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import magpiehub.core.Contract.Costs;
+import magpiehub.core.Contract.Effect;
+import magpiehub.core.Contract.Group;
+import magpiehub.core.Contract.Guarantees;
+import magpiehub.core.Contract.Limits;
+import magpiehub.core.Contract.RequestClass;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.Settings;
+import magpiehub.core.Contract.State;
+import magpiehub.core.Contract.Tenant;
+import magpiehub.core.Contract.Weights;
+
+/**
+ * What both hosts of the module read: the settings, and lists of engines under the names that each wire gives
+ * their fields; for the router also its own configuration file. It owns the names and units of the settings.
+ * It must never guess: an absent key takes its documented default, a value of the wrong type is
+ * {@link Malformed} and names its path.
+ */
+public final class Config {
+    /** The one factory: its symbol tables are shared by everything that reads JSON. */
+    public static final JsonFactory JSON = new JsonFactory();
+
+    /** Input that does not follow its description: the message names the place. */
+    public static final class Malformed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        public Malformed(String message) {
+            super(message);
+        }
+    }
+
+    /** The module's settings, and what the hosts need besides. Times in microseconds. */
+    public record Site(Settings settings, List<String> zones, List<String> kinds, long idleClose) {
+        /** A class's number by its name; -1 if there is none, and the module turns such a request away. */
+        public int cls(String name) {
+            for (int i = 0; i < settings.classes().size(); i++) {
+                if (settings.classes().get(i).name().equals(name)) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+
+        /** A tenant's number by its name; -1 if there is none. */
+        public int tenant(String name) {
+            for (int i = 0; i < settings.tenants().size(); i++) {
+                if (settings.tenants().get(i).name().equals(name)) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+    }
+
+    /** A router's own configuration. {@code known} is the list as JSON, in discovery's form. */
+    public record Router(String name, String listen, String discovery, long seed, int memoryMb, int sockets,
+            byte[] known, Site site) {
+    }
+
+    private Config() {
+    }
+
+    // ---- JSON -----------------------------------------------------------------------------------------
+    /** The object that the parser stands at, as maps, lists, numbers, texts and flags. */
+    public static Map<String, Object> object(JsonParser p) throws IOException {
+        if (p.currentToken() != JsonToken.START_OBJECT) {
+            throw new Malformed("must be an object");
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        while (p.nextToken() == JsonToken.FIELD_NAME) {
+            String name = p.currentName();
+            p.nextToken();
+            m.put(name, value(p));
+        }
+        return m;
+    }
+
+    private static Object value(JsonParser p) throws IOException {
+        return switch (p.currentToken()) {
+            case START_OBJECT -> object(p);
+            case START_ARRAY -> {
+                List<Object> l = new ArrayList<>();
+                while (p.nextToken() != JsonToken.END_ARRAY) {
+                    l.add(value(p));
+                }
+                yield l;
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> p.getDoubleValue();
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            case VALUE_STRING -> p.getText();
+            default -> null;
+        };
+    }
+
+    /** An object's members: absent keys take a default, values of the wrong type are malformed. */
+    public record Facts(Map<String, Object> map, String path) {
+        private <T> T get(String key, Class<T> type) {
+            Object v = map.get(key);
+            if (v != null && !type.isInstance(v)) {
+                throw new Malformed(path + "." + key + " has the wrong type");
+            }
+            return type.cast(v);
+        }
+
+        public double number(String key, double absent) {
+            Double v = get(key, Double.class);
+            return v == null ? absent : v;
+        }
+
+        long micros(String key, double absentMs) {
+            return Config.micros(number(key, absentMs));
+        }
+
+        public String text(String key, String absent) {
+            String v = get(key, String.class);
+            return v == null ? absent : v;
+        }
+
+        public boolean flag(String key, boolean absent) {
+            Boolean v = get(key, Boolean.class);
+            return v == null ? absent : v;
+        }
+
+        List<?> list(String key) {
+            List<?> v = get(key, List.class);
+            return v == null ? List.of() : v;
+        }
+
+        private <T> List<T> all(String key, Class<T> type, String what) {
+            List<T> r = new ArrayList<>();
+            for (Object o : list(key)) {
+                if (!type.isInstance(o)) {
+                    throw new Malformed(path + "." + key + " must hold " + what);
+                }
+                r.add(type.cast(o));
+            }
+            return r;
+        }
+
+        public List<Double> numbers(String key) {
+            return all(key, Double.class, "numbers");
+        }
+
+        public List<String> texts(String key) {
+            return all(key, String.class, "texts");
+        }
+
+        @SuppressWarnings("unchecked")
+        public Facts object(String key) {
+            Map<String, Object> m = get(key, Map.class);
+            return new Facts(m == null ? Map.of() : m, path + "." + key);
+        }
+
+        @SuppressWarnings("unchecked")
+        public List<Facts> objects(String key) {
+            List<Facts> r = new ArrayList<>();
+            for (Map<String, Object> m : all(key, Map.class, "objects")) {
+                r.add(new Facts(m, path + "." + key));
+            }
+            return r;
+        }
+    }
+
+    public static long micros(double ms) {
+        return Math.round(ms * 1000);
+    }
+
+    // ---- Settings -------------------------------------------------------------------------------------
+    /** The settings that the simulator's first message and a router's configuration hold alike. */
+    public static Site site(Facts f) {
+        List<Double> perToken = f.object("familyInfo").numbers("aimUsPer1000PromptTokens");
+        List<Double> tokenAim = f.object("familyInfo").numbers("tokenAimMs");
+        List<RequestClass> classes = new ArrayList<>();
+        for (Facts c : f.objects("classes")) {
+            int i = classes.size();
+            classes.add(new RequestClass(c.text("name", ""), switch (c.text("effect", "pure")) {
+                case "pure" -> Effect.PURE;
+                case "token" -> Effect.TOKEN;
+                case "side_effect" -> Effect.SIDE_EFFECT;
+                default -> throw new Malformed("classes.effect is no effect: " + c.text("effect", ""));
+            }, switch (c.text("group", "all")) {
+                case "all" -> Group.ALL;
+                case "zone" -> Group.ZONE;
+                case "cell" -> Group.CELL;
+                default -> throw new Malformed("classes.group is no group: " + c.text("group", ""));
+            }, c.micros("windowMs", 0), c.flag("stream", false), c.micros("aimMs", 0),
+                    i < perToken.size() ? perToken.get(i).longValue() : 0, c.number("aimStretch", 0),
+                    c.micros("deadlineMs", 0), i < tokenAim.size() ? micros(tokenAim.get(i)) : 0,
+                    c.number("gain", 1), c.number("lateShare", 0)));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (Facts t : f.objects("accounts")) {
+            tenants.add(new Tenant(t.text("name", ""), t.number("share", 0), t.number("allowancePerS", 0)));
+        }
+        Facts l = f.object("limits");
+        Facts g = f.object("guarantees");
+        Facts c = f.object("costs");
+        Settings s = new Settings((int) f.number("me", 0), Math.max(1, (int) f.number("instances", 1)),
+                (int) f.number("myZone", 0),
+                f.list("zones").size(), f.text("membershipMode", "automatic").equals("subscribe"),
+                f.object("familyInfo").flag("resume", false), switch (f.text("weights", "none")) {
+                    case "nominal" -> Weights.NOMINAL;
+                    case "rough" -> Weights.ROUGH;
+                    case "live" -> Weights.LIVE;
+                    default -> Weights.NONE;
+                }, f.number("overShareWorth", 1), classes, tenants,
+                new Limits(l.flag("cancel", false), l.flag("probes", false), l.flag("peers", false),
+                        l.flag("parallelTries", false), l.flag("retryAfter", false),
+                        (int) l.number("mostTries", 1),
+                        (int) l.number("mostHeld", 1e6), l.micros("maxRetryAfterMs", 0),
+                        l.micros("connectTimeoutMs", 250)),
+                new Guarantees(g.micros("answerSlackMs", 0), g.micros("askWithinMs", 10_000),
+                        g.micros("coldMs", 0),
+                        g.micros("fallMs", 1000), g.number("overloadFactor", 2), g.number("startCapacity", 1),
+                        g.micros("stopSendingWithinMs", 0)),
+                new Costs(c.number("crossZone", 0), c.number("waste", 0), c.number("probe", 0),
+                        c.number("lateFail", 0), c.number("connection", 0), c.number("handshake", 0)));
+        return new Site(s, f.texts("zones"), f.texts("machineTypes"), l.micros("idleCloseMs", 30_000));
+    }
+
+    // ---- Lists of engines -----------------------------------------------------------------------------
+    /** How a wire names an entry's fields and says zones, kinds, states and times. */
+    public interface Names {
+        /** The field that a name stands for: id, zone, kind, cell, state, weight, since, address or null. */
+        String field(String name);
+
+        /** A zone or kind, given as a number or a name. */
+        int number(String field, JsonParser p) throws IOException;
+
+        State state(String word);
+
+        /** Clock time of a start, from the wire's number. */
+        long since(double value);
+    }
+
+    /** An entry of a list; {@code address} is null on wires where the id is the address. */
+    public record Entry(Server server, String address) {
+    }
+
+    /** The entries of the array that the parser stands at. */
+    public static List<Entry> entries(JsonParser p, Names names) throws IOException {
+        if (p.currentToken() != JsonToken.START_ARRAY) {
+            throw new Malformed("must be an array");
+        }
+        List<Entry> list = new ArrayList<>();
+        while (p.nextToken() == JsonToken.START_OBJECT) {
+            String id = null;
+            String address = null;
+            State state = State.LIVE;
+            int zone = 0;
+            int kind = 0;
+            int cell = 0;
+            double weight = 1;
+            double online = 0;
+            while (p.nextToken() == JsonToken.FIELD_NAME) {
+                String name = p.currentName();
+                String field = names.field(name);
+                p.nextToken();
+                switch (field == null ? "" : field) {
+                    case "id" -> id = text(p, name);
+                    case "address" -> address = text(p, name);
+                    case "state" -> state = names.state(text(p, name));
+                    case "zone" -> zone = names.number(field, p);
+                    case "kind" -> kind = names.number(field, p);
+                    case "cell" -> cell = (int) number(p, name);
+                    case "weight" -> weight = number(p, name);
+                    case "since" -> online = number(p, name);
+                    default -> p.skipChildren();
+                }
+            }
+            if (id == null) {
+                throw new Malformed("an entry has no id");
+            }
+            list.add(new Entry(new Server(id, zone, kind, cell, state, weight, names.since(online)),
+                    address));
+        }
+        if (p.currentToken() != JsonToken.END_ARRAY) {
+            throw new Malformed("must hold objects only");
+        }
+        return list;
+    }
+
+    public static String text(JsonParser p, String name) throws IOException {
+        if (p.currentToken() != JsonToken.VALUE_STRING) {
+            throw new Malformed(name + " must be a text");
+        }
+        return p.getText();
+    }
+
+    public static double number(JsonParser p, String name) throws IOException {
+        if (p.currentToken() == null || !p.currentToken().isNumeric()) {
+            throw new Malformed(name + " must be a number");
+        }
+        return p.getDoubleValue();
+    }
+
+    // ---- A router's own file --------------------------------------------------------------------------
+    /** Reads the file that ROUTER_CONFIG names; the other variables go before what it says. */
+    public static Router router(Map<String, String> env) throws IOException {
+        String file = env.get("ROUTER_CONFIG");
+        if (file == null) {
+            throw new Malformed("ROUTER_CONFIG is not set");
+        }
+        Facts f = facts(Files.readAllBytes(Path.of(file)), "config");
+        Facts limits = f.object("limits");
+        if (f.object("settings").map().isEmpty()) {
+            throw new Malformed("config.settings is missing");
+        }
+        Object known = f.map().get("known");
+        return new Router(said(env, "ROUTER_NAME", f.text("name", null)),
+                address(said(env, "ROUTER_LISTEN", f.text("listen", null))),
+                address(said(env, "ROUTER_DISCOVERY", f.text("discovery", null))), seed(f.map().get("seed")),
+                (int) limits.number("memory_mb", 192), (int) limits.number("sockets", 1024),
+                known == null ? null : write(known), site(f.object("settings")));
+    }
+
+    /** The single object that a text holds. */
+    public static Facts facts(byte[] json, String path) throws IOException {
+        try (JsonParser p = JSON.createParser(json)) {
+            p.nextToken();
+            Facts f = new Facts(object(p), path);
+            if (p.nextToken() != null) {
+                throw new Malformed(path + " holds more than one value");
+            }
+            return f;
+        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+            throw new Malformed(path + ": " + e.getOriginalMessage());
+        }
+    }
+
+    private static byte[] write(Object value) throws IOException {
+        java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+        try (var g = JSON.createGenerator(out)) {
+            write(g, value);
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(com.fasterxml.jackson.core.JsonGenerator g, Object value) throws IOException {
+        if (value instanceof Map<?, ?> m) {
+            g.writeStartObject();
+            for (Map.Entry<?, ?> e : m.entrySet()) {
+                g.writeFieldName((String) e.getKey());
+                write(g, e.getValue());
+            }
+            g.writeEndObject();
+        } else if (value instanceof List<?> l) {
+            g.writeStartArray();
+            for (Object o : l) {
+                write(g, o);
+            }
+            g.writeEndArray();
+        } else if (value instanceof Double d) {
+            g.writeNumber(d);
+        } else if (value instanceof Boolean b) {
+            g.writeBoolean(b);
+        } else if (value instanceof String s) {
+            g.writeString(s);
+        } else {
+            g.writeNull();
+        }
+    }
+
+    private static String said(Map<String, String> env, String variable, String otherwise) {
+        String v = env.get(variable) != null && !env.get(variable).isEmpty() ? env.get(variable) : otherwise;
+        if (v == null) {
+            throw new Malformed(variable + " is not set and the configuration has no value for it");
+        }
+        return v;
+    }
+
+    /** An address and port as {@code host:port}. */
+    public static String address(String s) {
+        int colon = s.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(s.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port < 65536) {
+                return s;
+            }
+        } catch (NumberFormatException e) {
+            // Falls through to the one complaint.
+        }
+        throw new Malformed("is no address:port: " + s);
+    }
+
+    private static long seed(Object v) {
+        if (v instanceof Double d) {
+            return Double.doubleToLongBits(d);
+        }
+        if (v instanceof String s) {
+            try {
+                return Long.parseUnsignedLong(s, 16);
+            } catch (NumberFormatException e) {
+                return s.hashCode() * 0x9e3779b97f4a7c15L;
+            }
+        }
+        throw new Malformed("config.seed is missing");
+    }
+}
--- a/src/main/java/magpiehub/Contract.java
+++ b/src/main/java/magpiehub/core/Contract.java
@@ -1,4 +1,4 @@
-package magpiehub;
+package magpiehub.core;
 
 import java.util.List;
 
--- /dev/null
+++ b/src/main/java/magpiehub/core/Mailbox.java
@@ -0,0 +1,125 @@
+package magpiehub.core;
+
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * A mailbox, the clock that its owner waits by, and the thread that empties it. It owns the order in which
+ * messages reach one actor: first in, first out, whoever posts. It must never drop a message and go on: what
+ * does not fit into its bytes ends the peer, through {@link #post} answering false, and what is posted to a
+ * closed mailbox is refused in the same way. Nothing in here blocks a poster.
+ */
+public final class Mailbox<M> {
+    /** Whole microseconds on a clock that only goes forward. */
+    public interface Clock {
+        long micros();
+
+        /** Waits on a condition until signalled or until this clock may have reached a time. */
+        default void await(Condition condition, long until) throws InterruptedException {
+            if (until == Long.MAX_VALUE) {
+                condition.await();
+            } else {
+                condition.await(Math.max(1, until - micros()), TimeUnit.MICROSECONDS);
+            }
+        }
+
+        /** The machine's monotonic clock. It starts far from zero: to the module, 0 is 'long ago'. */
+        Clock SYSTEM = new Clock() {
+            private final long start = System.nanoTime();
+
+            @Override
+            public long micros() {
+                return (System.nanoTime() - start) / 1000 + 1_000_000_000_000L;
+            }
+        };
+    }
+
+    private record Entry<T>(T message, int bytes) {
+    }
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition arrived = lock.newCondition();
+    private final ArrayDeque<Entry<M>> queue = new ArrayDeque<>(4);
+    private final Clock clock;
+    private final long most;
+    private long held;
+    private boolean closed;
+
+    /** A mailbox that holds at most so many bytes of payload. */
+    public Mailbox(Clock clock, long most) {
+        this.clock = clock;
+        this.most = most;
+    }
+
+    /** False if the message does not fit or the mailbox is closed: then its peer is to be ended. */
+    public boolean post(M message, int bytes) {
+        lock.lock();
+        try {
+            if (closed || held + bytes > most) {
+                return false;
+            }
+            held += bytes;
+            queue.add(new Entry<>(message, bytes));
+            arrived.signal();
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A word that ends something: small, bounded in number by what it ends, and taken whatever is queued. */
+    public boolean post(M message) {
+        return post(message, 0);
+    }
+
+    /** The next message, or null once the clock has reached a time. */
+    public M take(long until) throws InterruptedException {
+        lock.lock();
+        try {
+            while (queue.isEmpty() && clock.micros() < until) {
+                clock.await(arrived, until);
+            }
+            return unlockedPoll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The next message if one is there. */
+    public M poll() {
+        lock.lock();
+        try {
+            return unlockedPoll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private M unlockedPoll() {
+        Entry<M> e = queue.poll();
+        if (e == null) {
+            return null;
+        }
+        held -= e.bytes;
+        return e.message;
+    }
+
+    /** Takes nothing more. What is queued stays for its owner to read. */
+    public void close() {
+        lock.lock();
+        try {
+            closed = true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A platform thread with a small stack; stacks are the largest part of what a connection costs. */
+    public static Thread thread(String name, Runnable body) {
+        Thread t = new Thread(null, body, name, 160 * 1024);
+        t.setDaemon(true);
+        return t;
+    }
+}
--- /dev/null
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -0,0 +1,431 @@
+package magpiehub.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.Request;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.Settings;
+
+/**
+ * The module's actor: the sole owner of the decision module, of the open requests, of their attempts and of
+ * all timers. It turns what peers post into the module's events and the module's actions into calls of the
+ * ports below. It must never wait for a peer, know a wire, or decide where a request goes. Two things it
+ * does itself, since no decision is in them: it closes an attempt's connection before anything else may
+ * happen to the request, and it answers a request that the module has let run past its deadline.
+ */
+public final class ModuleActor {
+    /** The client of one request. Each request gets one of these calls at most, from the module's thread. */
+    public interface Client {
+        /** Turned away; a retry is harmless, and welcome after so long. */
+        void refuse(long retryAfter);
+
+        /** Failed, with no promise. */
+        void fail(String why);
+
+        /** A running stream is ended so that its client asks for the rest elsewhere. */
+        void move();
+    }
+
+    /** One attempt as the engines' side holds it. */
+    public interface Handle {
+        /** The stream belongs to the client: whatever has come and comes may be passed on. */
+        void grant();
+
+        /** Closes the attempt's connection before it returns, so that no second copy can be out. */
+        void abort();
+    }
+
+    /** The engines. Called from the module's thread only; must not block it. */
+    public interface Fleet {
+        Handle start(Attempt attempt);
+
+        void probe(String server);
+
+        void closeIdle(String server);
+
+        /** The list as the module has it now. */
+        void list(ListKind kind, List<Server> servers);
+    }
+
+    /** Discovery: each call is answered by one {@link #list}. Must not block the module's thread. */
+    public interface Roster {
+        void watch();
+
+        void unwatch();
+
+        void fetch();
+    }
+
+    /** What is counted and logged, by name; the ops package gives it a form. */
+    public interface Journal {
+        void count(String name);
+
+        void log(String what, String... namesAndValues);
+    }
+
+    /** One attempt at a request. Its engine's side reads it; all else is the module's. */
+    public static final class Attempt {
+        public final String server;
+        /** When the attempt ends unanswered (us): the engine is told how long is left. */
+        public final long until;
+        private final Open open;
+        private final int number;
+        private final long sentAt;
+        private Handle handle;
+        private boolean over;
+
+        private Attempt(Open open, int number, String server, long sentAt, long until) {
+            this.open = open;
+            this.number = number;
+            this.server = server;
+            this.sentAt = sentAt;
+            this.until = until;
+        }
+
+        /** What the front handed in with the request, untouched; null once the request is over. */
+        public Object work() {
+            return open.work;
+        }
+    }
+
+    /** A request taken and not yet over. */
+    private static final class Open {
+        final Request request;
+        final Client client;
+        /** Let go as soon as it is over: timers hold the rest of this until the deadline. */
+        volatile Object work;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        Attempt begun;
+        boolean answered;
+
+        Open(Request request, Client client, Object work) {
+            this.request = request;
+            this.client = client;
+            this.work = work;
+        }
+    }
+
+    private record Due(long at, long order, Runnable what) {
+    }
+
+    /** The bytes of waiting requests that the mailbox takes: more than this is shed by the fronts. */
+    private static final long MAILBOX_BYTES = 8L << 20;
+    /** Within the slack: when a request that the module has not answered by its deadline is answered here. */
+    private static final long BACKSTOP = 4_000;
+
+    private final Mailbox<Runnable> mailbox;
+    private final Mailbox.Clock clock;
+    private final Fleet fleet;
+    private final Roster roster;
+    private final Journal journal;
+    private final Map<String, Open> requests = new HashMap<>();
+    private final PriorityQueue<Due> timers =
+            new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final int mostHeld;
+    private final Rules rules;
+    private long order;
+    private long now;
+    private volatile int held;
+
+    /** An actor over ports; it does nothing until {@link #turn} or {@link #run} is called. */
+    public ModuleActor(Settings settings, long seed, Mailbox.Clock clock, Fleet fleet, Roster roster,
+            Journal journal) {
+        this.clock = clock;
+        this.fleet = fleet;
+        this.roster = roster;
+        this.journal = journal;
+        this.mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
+        this.mostHeld = settings.limits().mostHeld();
+        this.now = clock.micros();
+        this.rules = new Rules(settings, seed, new Decisions(), now);
+    }
+
+    /** Turns until interrupted. */
+    public void run() {
+        try {
+            while (true) {
+                turn(timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** One turn of the loop: a message, if one comes in time, and the timers that are due. */
+    void turn(long until) throws InterruptedException {
+        Runnable message = mailbox.take(until);
+        now = Math.max(now, clock.micros());
+        if (message != null) {
+            guarded(message);
+        }
+        while (!timers.isEmpty() && timers.peek().at <= now) {
+            guarded(timers.poll().what);
+        }
+        held = requests.size();
+    }
+
+    /** An exception ends the work that it came from, never the process: requests are answered at deadline. */
+    private void guarded(Runnable r) {
+        try {
+            r.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            journal.count("module_exceptions");
+            journal.log("module-exception", "error", e.toString(),
+                    "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0].toString() : "?");
+        }
+    }
+
+    private void at(long time, Runnable what) {
+        timers.add(new Due(time, order++, what));
+    }
+
+    // ---- What peers post ------------------------------------------------------------------------------
+    /** Requests taken and not over. Any thread. */
+    public int held() {
+        return held;
+    }
+
+    /** A client's request; false if there is no room, and then the caller answers it. */
+    public boolean take(Request request, Client client, Object work, int bytes) {
+        return mailbox.post(() -> taken(request, client, work), bytes);
+    }
+
+    /** The client of a request has gone. */
+    public void gone(String id) {
+        mailbox.post(() -> left(id));
+    }
+
+    /** The first event of an attempt has come. It may be passed on only after {@link Handle#grant}. */
+    public void begun(Attempt a) {
+        mailbox.post(() -> first(a));
+    }
+
+    /** An attempt has ended; its connection is closed or free. {@code kept} is -1 if not told. */
+    public void ended(Attempt a, Outcome outcome, long kept) {
+        mailbox.post(() -> end(a, outcome, kept));
+    }
+
+    /** A probe has come back. */
+    public void probed(String server, Outcome outcome, long sentAt) {
+        mailbox.post(() -> rules.probed(now, server, outcome, now - sentAt, null));
+    }
+
+    /** Discovery's word on the engines. */
+    public void list(ListKind kind, List<Server> servers) {
+        mailbox.post(() -> {
+            fleet.list(kind, servers);
+            rules.list(now, kind, servers);
+        });
+    }
+
+    /** Runs something of a port's own on the module's thread. */
+    public void execute(Runnable what) {
+        mailbox.post(what);
+    }
+
+    /** Ends every running stream in order, where clients ask for the rest. */
+    public void moveAll() {
+        mailbox.post(() -> {
+            for (Open o : List.copyOf(requests.values())) {
+                if (o.begun != null) {
+                    new Decisions().move(o.request.id());
+                }
+            }
+        });
+    }
+
+    // ---- Events ---------------------------------------------------------------------------------------
+    private void taken(Request r, Client client, Object work) {
+        if (requests.containsKey(r.id()) || requests.size() >= mostHeld) {
+            journal.count("answered_refused");
+            client.refuse(1_000_000);
+            return;
+        }
+        Open o = new Open(r, client, work);
+        requests.put(r.id(), o);
+        journal.count("taken");
+        // Guards against a module that neither sends nor answers, or fails with an exception.
+        at(r.deadline() + BACKSTOP, () -> {
+            if (!o.answered && o.begun == null) {
+                journal.count("answered_by_backstop");
+                o.attempts.forEach(this::stop);
+                answer(o, "failed");
+                client.fail("deadline");
+                rules.abandoned(now, r.id());
+            }
+        });
+        rules.request(now, r);
+    }
+
+    private void first(Attempt a) {
+        Open o = a.open;
+        if (a.over || o.answered) {
+            return;
+        }
+        o.begun = a;
+        a.handle.grant();
+        rules.begun(now, o.request.id(), a.number, now - a.sentAt);
+    }
+
+    private void end(Attempt a, Outcome outcome, long kept) {
+        if (a.over) {
+            return;
+        }
+        a.over = true;
+        Open o = a.open;
+        boolean settled = o.answered || o.begun == a || outcome == Outcome.OK;
+        journal.count("attempt_" + outcome.name().toLowerCase(java.util.Locale.ROOT));
+        if (settled && !o.answered) {
+            answer(o, outcome == Outcome.OK ? "served" : outcome == Outcome.CANCELLED ? "abandoned"
+                    : "broken");
+        }
+        rules.outcome(now, o.request.id(), a.number, outcome, now - a.sentAt, settled, kept, null);
+    }
+
+    private void left(String id) {
+        Open o = requests.get(id);
+        if (o == null || o.answered) {
+            return;
+        }
+        answer(o, "abandoned");
+        rules.abandoned(now, id);
+        for (Attempt a : o.attempts) {
+            if (!a.over) {
+                // Nobody reads on: the engine is not to work for a client that has gone.
+                a.handle.abort();
+                end(a, Outcome.CANCELLED, -1);
+            }
+        }
+    }
+
+    private void answer(Open o, String how) {
+        o.answered = true;
+        o.work = null;
+        requests.remove(o.request.id());
+        journal.count("answered_" + how);
+    }
+
+    /** Closes an attempt's connection. The outcome follows in a turn of its own, never inside an action. */
+    private void stop(Attempt a) {
+        if (!a.over) {
+            a.handle.abort();
+            ended(a, Outcome.CANCELLED, -1);
+        }
+    }
+
+    // ---- Actions --------------------------------------------------------------------------------------
+    /** What the module has decided, carried out through the ports. */
+    private final class Decisions implements Contract.Actions {
+        @Override
+        public void send(String id, String server, long timeout) {
+            Open o = requests.get(id);
+            if (o == null || o.answered) {
+                return;
+            }
+            // Guards against a second copy, whatever the module asks for: the old socket is closed first.
+            for (Attempt old : o.attempts) {
+                stop(old);
+            }
+            long until = timeout == 0 ? o.request.deadline()
+                    : Math.min(o.request.deadline(), now + Math.max(0, timeout));
+            Attempt a = new Attempt(o, o.attempts.size(), server, now, until);
+            o.attempts.add(a);
+            journal.count("sent");
+            at(until, () -> expire(a));
+            a.handle = fleet.start(a);
+        }
+
+        private void expire(Attempt a) {
+            if (!a.over && a.open.begun != a) {
+                a.handle.abort();
+                end(a, Outcome.TIMEOUT, -1);
+            }
+        }
+
+        @Override
+        public void cancel(String id, int n) {
+            Open o = requests.get(id);
+            if (o != null && n >= 0 && n < o.attempts.size() && o.begun != o.attempts.get(n)) {
+                stop(o.attempts.get(n));
+            }
+        }
+
+        @Override
+        public void refuse(String id, long retryAfter) {
+            Open o = requests.get(id);
+            if (o != null && o.begun == null) {
+                o.attempts.forEach(ModuleActor.this::stop);
+                answer(o, "refused");
+                o.client.refuse(retryAfter);
+            }
+        }
+
+        @Override
+        public void fail(String id) {
+            Open o = requests.get(id);
+            if (o != null && o.begun == null) {
+                o.attempts.forEach(ModuleActor.this::stop);
+                answer(o, "failed");
+                o.client.fail("given up");
+            }
+        }
+
+        @Override
+        public void move(String id) {
+            Open o = requests.get(id);
+            if (o != null && o.begun != null) {
+                o.begun.handle.abort();
+                answer(o, "moved");
+                o.client.move();
+                ended(o.begun, Outcome.CANCELLED, -1);
+            }
+        }
+
+        @Override
+        public void watch() {
+            roster.watch();
+        }
+
+        @Override
+        public void unwatch() {
+            roster.unwatch();
+        }
+
+        @Override
+        public void fetch() {
+            roster.fetch();
+        }
+
+        @Override
+        public void timer(long when, long token) {
+            at(when, () -> rules.timer(now, token));
+        }
+
+        @Override
+        public void probe(String server) {
+            journal.count("probes");
+            fleet.probe(server);
+        }
+
+        @Override
+        public void close(String server) {
+            fleet.closeIdle(server);
+        }
+
+        @Override
+        public void tell(int peer, byte[] payload) {
+            journal.count("peer_messages_not_sent");
+        }
+
+        @Override
+        public void log(String text) {
+            journal.log("module", "text", text);
+        }
+    }
+}
--- a/src/main/java/magpiehub/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -1,4 +1,4 @@
-package magpiehub;
+package magpiehub.core;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import magpiehub.Contract.*;
-import magpiehub.State.*;
+import magpiehub.core.Contract.*;
+import magpiehub.core.State.*;
 
 /**
  * The decision module, one per node. What it deals in, its types, events and actions, is in Contract.java.
--- a/src/main/java/magpiehub/State.java
+++ b/src/main/java/magpiehub/core/State.java
@@ -1,9 +1,9 @@
-package magpiehub;
+package magpiehub.core;
 
 import java.util.ArrayList;
 import java.util.List;
-import magpiehub.Contract.Request;
-import magpiehub.Contract.Server;
+import magpiehub.core.Contract.Request;
+import magpiehub.core.Contract.Server;
 
 /** What the decision module remembers: plain fields that only {@link Rules} reads and writes,
  * and the handling of a deque. */
--- /dev/null
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -0,0 +1,168 @@
+package magpiehub.front;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.Request;
+import magpiehub.net.Front;
+import magpiehub.net.Http;
+
+/**
+ * The platform's own protocol: its headers in the module's terms, and the engine's events passed on as they
+ * are. It owns the header names. It must never change a byte of an event or of what engines are sent.
+ */
+public final class PlatformFront implements Front {
+    static final String PATH = "/v1/chat/completions";
+    private final Config.Site site;
+
+    public PlatformFront(Config.Site site) {
+        this.site = site;
+    }
+
+    @Override
+    public Call read(Http.Head head, byte[] body, long at) throws Http.Bad {
+        String target = head.start[1];
+        if (!target.equals(PATH) && !target.startsWith(PATH + "?")) {
+            throw new Http.Bad(404, "no such path");
+        }
+        if (!head.start[0].equals("POST")) {
+            throw new Http.Bad(405, "POST only");
+        }
+        checkJson(body);
+        return new Passed(request(site, head, at), target, body);
+    }
+
+    /** The request that the platform's headers describe. */
+    static Request request(Config.Site site, Http.Head head, long at) throws Http.Bad {
+        String id = need(head, "X-Call-Id");
+        if (id.isEmpty() || id.length() > 64 || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+            throw new Http.Bad(400, "malformed X-Call-Id");
+        }
+        long budget = whole(need(head, "X-Budget-Ms"), 10, "X-Budget-Ms");
+        if (budget > 86_400_000) {
+            throw new Http.Bad(400, "malformed X-Budget-Ms");
+        }
+        String tenant = head.get("X-Caller");
+        String route = head.get("X-Route-Hash");
+        long prefix = 0;
+        double[] lengths = new double[3];
+        String info = head.get("X-Call-Info");
+        for (String part : info == null || info.isBlank() ? new String[0] : info.split(",")) {
+            int eq = part.indexOf('=');
+            String name = eq < 0 ? "" : part.substring(0, eq).strip();
+            String value = part.substring(eq + 1).strip();
+            switch (name) {
+                case "prefix" -> prefix = whole(value, 16, "X-Call-Info");
+                case "prompt_len" -> lengths[0] = whole(value, 10, "X-Call-Info");
+                case "prefix_len" -> lengths[1] = whole(value, 10, "X-Call-Info");
+                case "max_out" -> lengths[2] = whole(value, 10, "X-Call-Info");
+                default -> {
+                    if (eq <= 0) {
+                        throw new Http.Bad(400, "malformed X-Call-Info");
+                    }
+                }
+            }
+        }
+        String again = head.get("X-Again");
+        return new Request(id, site.cls(need(head, "X-Call-Class")), tenant == null ? -1
+                : site.tenant(tenant),
+                route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget * 1000, 0,
+                lengths[0], lengths[1], lengths[2], "1".equals(again), false, "again".equals(again));
+    }
+
+    private static String need(Http.Head head, String name) throws Http.Bad {
+        String v = head.get(name);
+        if (v == null) {
+            throw new Http.Bad(400, name + " is missing");
+        }
+        return v;
+    }
+
+    /** A number without a sign: ids in hexadecimal may use all 64 bits. */
+    static long whole(String s, int radix, String what) throws Http.Bad {
+        try {
+            if (!s.isEmpty() && Character.digit(s.charAt(0), radix) >= 0) {
+                long v = Long.parseUnsignedLong(s, radix);
+                if (radix == 16 || v >= 0) {
+                    return v;
+                }
+            }
+        } catch (NumberFormatException e) {
+            // Falls through to the one complaint.
+        }
+        throw new Http.Bad(400, "malformed " + what);
+    }
+
+    /** Guards against sending engines what they can't read, which would look like an engine's fault. */
+    static void checkJson(byte[] body) throws Http.Bad {
+        try (JsonParser p = Config.JSON.createParser(body)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                throw new Http.Bad(400, "body is no JSON object");
+            }
+            p.skipChildren();
+            if (p.currentToken() != JsonToken.END_OBJECT || p.nextToken() != null) {
+                throw new Http.Bad(400, "body is no single JSON object");
+            }
+        } catch (Http.Bad e) {
+            throw e;
+        } catch (JsonProcessingException e) {
+            throw new Http.Bad(400, "body is no JSON");
+        } catch (IOException e) {
+            throw new Http.Bad(400, "body is unreadable");
+        }
+    }
+
+    @Override
+    public void error(Http.Output out, int status, String why, long retryAfter, boolean close) {
+        byte[] body = ("{\"error\":{\"message\":\"" + why + "\",\"code\":" + status + "}}\n")
+                .getBytes(StandardCharsets.UTF_8);
+        if (retryAfter > 0) {
+            Http.answer(out, status, "application/json", body, close, "Retry-After",
+                    Front.seconds(retryAfter));
+        } else {
+            Http.answer(out, status, "application/json", body, close);
+        }
+    }
+
+    private final class Passed extends Call {
+        Passed(Request request, String target, byte[] body) {
+            super(request, target, body);
+        }
+
+        @Override
+        public void begin(Http.Output out, boolean close) {
+            out.text("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
+                    + "Transfer-Encoding: chunked\r\n" + (close ? "Connection: close\r\n\r\n" : "\r\n"));
+        }
+
+        @Override
+        public void event(Http.Output out, byte[] event) {
+            out.chunk(event);
+        }
+
+        @Override
+        public void end(Http.Output out, boolean close) {
+            out.lastChunk();
+        }
+
+        @Override
+        public void broken(Http.Output out, byte[] error) {
+            if (error != null) {
+                out.chunk(error);
+            }
+        }
+
+        @Override
+        public void refused(Http.Output out, long retryAfter, boolean close) {
+            error(out, 503, "refused", retryAfter, close);
+        }
+
+        @Override
+        public void failed(Http.Output out, String why, boolean close) {
+            error(out, 504, why, 0, close);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -0,0 +1,442 @@
+package magpiehub.net;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+
+/**
+ * The clients' side: one listener with its front, and the connections that it accepts. Each connection has a
+ * reader thread that only parses and posts, and an actor that owns the exchange in hand and alone writes. It
+ * owns the clients' part of the descriptors. It must never answer a request twice, write an end to a stream
+ * that is not whole, or make anybody but its own client wait.
+ */
+public final class Clients {
+    /** What waits for one client at most; a whole answer is far smaller. */
+    private static final int MAILBOX_BYTES = 512 * 1024;
+    /** Requests that a client may have sent ahead of their answers. */
+    private static final int MOST_AHEAD = 4;
+    /** How long a connection that is being closed waits for its client's own end, so that the last answer
+     *  is not destroyed by a reset (us). */
+    private static final long LINGER = 1_000_000;
+    /** How long a begun request may take to come in (ms). */
+    private static final int REQUEST_TIMEOUT_MS = 20_000;
+    private static final int MOST_DISCARDED = 1 << 20;
+    /** What a client that comes while there is no room is told to wait (us). */
+    private static final long SHED_PAUSE = 500_000;
+
+    private final Front front;
+    private final ModuleActor module;
+    private final Mailbox.Clock clock;
+    private final ModuleActor.Journal journal;
+    private final BooleanSupplier ready;
+    private final Supplier<String> counters;
+    private final int most;
+    private final ServerSocket server = new ServerSocket();
+    private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean closing;
+
+    /** A listener that is bound but accepts nothing until {@link #start}. */
+    public Clients(InetSocketAddress listen, Front front, ModuleActor module, Mailbox.Clock clock,
+            ModuleActor.Journal journal, BooleanSupplier ready, Supplier<String> counters, int most)
+            throws IOException {
+        this.front = front;
+        this.module = module;
+        this.clock = clock;
+        this.journal = journal;
+        this.ready = ready;
+        this.counters = counters;
+        this.most = most;
+        server.setReuseAddress(true);
+        server.bind(listen, 512);
+    }
+
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    public void start() {
+        Mailbox.thread("accept", this::accept).start();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket s = server.accept();
+                s.setTcpNoDelay(true);
+                // Past the budget a client still gets an answer: a few descriptors are kept for saying no.
+                boolean room = open.size() < most;
+                if (!room) {
+                    journal.count("clients_shed");
+                }
+                Connection c = new Connection(s, !room);
+                open.add(c);
+                c.start();
+                while (open.size() >= most + most / 16 + 4 && !server.isClosed()) {
+                    synchronized (open) {
+                        open.wait(50);
+                    }
+                }
+            } catch (IOException | OutOfMemoryError e) {
+                if (!server.isClosed()) {
+                    // Out of descriptors or threads: what is open goes on, and the next one is tried.
+                    journal.count("accept_failures");
+                    journal.log("accept-failure", "error", e.toString());
+                    Thread.onSpinWait();
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    /** From now on each answer is its connection's last. New connections are still accepted. */
+    public void announceClosing() {
+        closing = true;
+    }
+
+    /** Accepts no more and closes what is idle; requests in hand go on. */
+    public void stopAccepting() throws IOException {
+        server.close();
+        for (Connection c : open) {
+            c.mailbox.post(new CloseIfIdle());
+        }
+    }
+
+    /** Connections that are open still. */
+    public int open() {
+        return open.size();
+    }
+
+    private record Arrived(Http.Head head, byte[] body, long at) {
+    }
+
+    private record Malformed(int status, String why) {
+    }
+
+    private record Left() {
+    }
+
+    private record CloseIfIdle() {
+    }
+
+    private record Event(Exchange exchange, byte[] bytes) {
+    }
+
+    private record End(Exchange exchange) {
+    }
+
+    private record Broken(Exchange exchange, byte[] error) {
+    }
+
+    private record Refused(Exchange exchange, long retryAfter) {
+    }
+
+    private record Failed(Exchange exchange, String why) {
+    }
+
+    /** One request of a connection, as the module and the engines' side know it. */
+    private static final class Exchange implements ModuleActor.Client, Front.Sink {
+        final Connection connection;
+        final Front.Call call;
+        boolean begun;
+
+        Exchange(Connection connection, Front.Call call) {
+            this.connection = connection;
+            this.call = call;
+        }
+
+        @Override
+        public void event(byte[] event) {
+            connection.post(new Event(this, event), event.length);
+        }
+
+        @Override
+        public void end() {
+            connection.post(new End(this), 0);
+        }
+
+        @Override
+        public void broken(byte[] error) {
+            connection.post(new Broken(this, error), 0);
+        }
+
+        @Override
+        public void refuse(long retryAfter) {
+            connection.post(new Refused(this, retryAfter), 0);
+        }
+
+        @Override
+        public void fail(String why) {
+            connection.post(new Failed(this, why), 0);
+        }
+
+        @Override
+        public void move() {
+            connection.post(new Broken(this, null), 0);
+        }
+    }
+
+    /** One connection: its actor's state, and its reader. */
+    private final class Connection {
+        private final Socket socket;
+        private final boolean shed;
+        private final Mailbox<Object> mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
+        private final Http.Output out = new Http.Output();
+        private final ArrayDeque<Arrived> ahead = new ArrayDeque<>(2);
+        private Exchange current;
+        /** The last answer is written: only the client's own end is waited for. */
+        private boolean lingering;
+        private boolean ended;
+        /** The client has asked for the connection to end with this answer. */
+        private boolean lastAnswer;
+
+        Connection(Socket socket, boolean shed) {
+            this.socket = socket;
+            this.shed = shed;
+        }
+
+        void start() {
+            Mailbox.thread("client-reader", this::read).start();
+            Mailbox.thread("client", this::run).start();
+        }
+
+        /** What does not fit ends this client: it does not read, and no event may be left out. */
+        void post(Object message, int bytes) {
+            if (!mailbox.post(message, bytes)) {
+                journal.count("client_overflows");
+                closeQuietly(socket);
+                mailbox.post(new Left());
+            }
+        }
+
+        // ---- The reader -------------------------------------------------------------------------------
+        private void read() {
+            try {
+                Http.Input in = new Http.Input(socket.getInputStream(), clock::micros);
+                while (in.await()) {
+                    socket.setSoTimeout(REQUEST_TIMEOUT_MS);
+                    Http.Head head = in.head(true);
+                    byte[] body = in.body(head);
+                    socket.setSoTimeout(0);
+                    post(new Arrived(head, body, in.firstAt()), body.length);
+                }
+            } catch (Http.Bad e) {
+                post(new Malformed(e.status, e.getMessage()), 0);
+                discard();
+            } catch (java.net.SocketTimeoutException e) {
+                post(new Malformed(408, "request incomplete"), 0);
+                discard();
+            } catch (IOException e) {
+                // The client has gone; nothing more to say to it.
+            } catch (RuntimeException | OutOfMemoryError e) {
+                journal.count("reader_exceptions");
+                journal.log("reader-exception", "error", e.toString());
+            } finally {
+                mailbox.post(new Left());
+            }
+        }
+
+        /** Reads what a malformed message still brings, so that the answer to it arrives. */
+        private void discard() {
+            try {
+                socket.setSoTimeout((int) (LINGER / 1000));
+                byte[] b = new byte[4096];
+                for (int n = 0, k; n < MOST_DISCARDED; n += k) {
+                    k = socket.getInputStream().read(b);
+                    if (k < 0) {
+                        return;
+                    }
+                }
+            } catch (IOException e) {
+                // It is being closed anyway.
+            }
+        }
+
+        // ---- The actor --------------------------------------------------------------------------------
+        private void run() {
+            long until = Long.MAX_VALUE;
+            try {
+                OutputStream to = socket.getOutputStream();
+                while (!ended) {
+                    Object m = mailbox.take(until);
+                    if (m == null) {
+                        return;
+                    }
+                    for (; m != null && !ended; m = out.length() < 16 * 1024 ? mailbox.poll() : null) {
+                        handle(m);
+                    }
+                    out.flush(to);
+                    if (lingering && until == Long.MAX_VALUE) {
+                        socket.shutdownOutput();
+                        until = clock.micros() + LINGER;
+                    }
+                }
+            } catch (IOException e) {
+                // The client has gone while it was written to.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (RuntimeException | OutOfMemoryError e) {
+                journal.count("client_exceptions");
+                journal.log("client-exception", "error", e.toString());
+                lastWords();
+            } finally {
+                mailbox.close();
+                closeQuietly(socket);
+                if (current != null) {
+                    module.gone(current.call.request.id());
+                }
+                open.remove(this);
+                synchronized (open) {
+                    open.notifyAll();
+                }
+            }
+        }
+
+        /** After an exception: what was taken and not begun is answered still. */
+        private void lastWords() {
+            try {
+                if (current != null && !current.begun) {
+                    out.take();
+                    front.error(out, 500, "internal error", 0, true);
+                    out.flush(socket.getOutputStream());
+                }
+            } catch (IOException e) {
+                // Nobody is left to answer.
+            }
+        }
+
+        private boolean last() {
+            return closing || shed || lingering || lastAnswer;
+        }
+
+        private void handle(Object m) {
+            if (m instanceof Arrived a) {
+                if (current == null && !lingering) {
+                    begin(a);
+                } else if (ahead.size() < MOST_AHEAD) {
+                    ahead.add(a);
+                } else {
+                    ended = true;
+                }
+            } else if (m instanceof Event e) {
+                if (e.exchange == current) {
+                    if (!current.begun) {
+                        current.begun = true;
+                        current.call.begin(out, last());
+                    }
+                    current.call.event(out, e.bytes);
+                }
+            } else if (m instanceof End e) {
+                if (e.exchange == current) {
+                    if (!current.begun) {
+                        current.begun = true;
+                        current.call.begin(out, last());
+                    }
+                    current.call.end(out, last());
+                    over(last());
+                }
+            } else if (m instanceof Broken b) {
+                if (b.exchange == current) {
+                    if (!current.begun) {
+                        current.call.failed(out, "stream broke", true);
+                    } else {
+                        current.call.broken(out, b.error);
+                    }
+                    current = null;
+                    ended = true;
+                }
+            } else if (m instanceof Refused r) {
+                if (r.exchange == current) {
+                    current.call.refused(out, r.retryAfter, last());
+                    over(last());
+                }
+            } else if (m instanceof Failed f) {
+                if (f.exchange == current) {
+                    current.call.failed(out, f.why, last());
+                    over(last());
+                }
+            } else if (m instanceof Malformed b) {
+                journal.count("malformed_requests");
+                if (current == null && !lingering) {
+                    front.error(out, b.status, b.why, 0, true);
+                    lingering = true;
+                } else if (current != null && current.begun) {
+                    ended = true;
+                } else {
+                    // Rubbish behind a request that is still waiting: that one is answered, then it ends.
+                    lastAnswer = true;
+                }
+            } else if (m instanceof Left) {
+                ended = true;
+            } else if (m instanceof CloseIfIdle) {
+                lingering = lingering || current == null && ahead.isEmpty();
+            }
+        }
+
+        private void over(boolean close) {
+            current = null;
+            if (close) {
+                lingering = true;
+            } else if (!ahead.isEmpty()) {
+                begin(ahead.poll());
+            }
+        }
+
+        private void begin(Arrived a) {
+            lastAnswer |= a.head.closes();
+            boolean close = last();
+            String path = a.head.start[1];
+            if (path.equals("/up") || path.equals("/counters")) {
+                boolean get = a.head.start[0].equals("GET") || a.head.start[0].equals("HEAD");
+                int status = !get ? 405 : path.equals("/up") && !ready.getAsBoolean() ? 503 : 200;
+                String text = path.equals("/counters") ? counters.get() : status == 200 ? "up\n"
+                        : "not ready\n";
+                Http.answer(out, status, "text/plain; charset=utf-8",
+                        a.head.start[0].equals("HEAD") ? new byte[0]
+                                : text.getBytes(StandardCharsets.UTF_8), close);
+                over(close);
+                return;
+            }
+            if (shed) {
+                front.error(out, 503, "no room", SHED_PAUSE, true);
+                over(true);
+                return;
+            }
+            Front.Call call;
+            try {
+                call = front.read(a.head, a.body, a.at);
+            } catch (Http.Bad e) {
+                journal.count("malformed_requests");
+                front.error(out, e.status, e.getMessage(), 0, true);
+                over(true);
+                return;
+            }
+            current = new Exchange(this, call);
+            call.sink(current);
+            if (!module.take(call.request, current, call, a.body.length)) {
+                journal.count("answered_refused");
+                journal.count("requests_shed");
+                call.refused(out, SHED_PAUSE, close);
+                over(close);
+            }
+        }
+    }
+
+    static void closeQuietly(Socket s) {
+        try {
+            s.close();
+        } catch (IOException e) {
+            // Closed is closed.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/magpiehub/net/Discovery.java
@@ -0,0 +1,323 @@
+package magpiehub.net;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.State;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+
+/**
+ * The list's actor: it asks discovery when the module says so, one watch and one call at a time, and posts
+ * what comes, in the order of its revisions. It owns the revision, and the meaning of an entry's fields. It
+ * must never ask again by itself (the module backs off), take silence for peace, or go back to an older list.
+ */
+public final class Discovery implements ModuleActor.Roster {
+    /** Discovery writes at least an empty line each 2 s: after this long the watch has failed (us). What it
+     *  had to tell counts as told 6 s later, so a watch that has died unseen is to end before. */
+    private static final long SILENCE = 4_500_000;
+    /** Discovery serves calls in turn and gives up on those that wait too long; so does this side (us). */
+    private static final long PATIENCE = 5_000_000;
+    private static final int CONNECT_TIMEOUT_MS = 1000;
+    private static final int MAILBOX_BYTES = 8 << 20;
+
+    private record Ask(boolean watch) {
+    }
+
+    private record Unwatch() {
+    }
+
+    private record Line(Call from, byte[] bytes) {
+    }
+
+    private record Ended(Call from, String why) {
+    }
+
+    /** One call under way. */
+    private static final class Call {
+        final boolean watch;
+        final Socket socket = new Socket();
+        boolean first = true;
+        long until;
+
+        Call(boolean watch) {
+            this.watch = watch;
+        }
+    }
+
+    private final String address;
+    private final Config.Site site;
+    private final Engines engines;
+    private final Mailbox.Clock clock;
+    private final ModuleActor.Journal journal;
+    private final Mailbox<Object> mailbox;
+    /** Monotonic time less Unix time (us), taken once: entries told twice must give the same start. */
+    private final long offset;
+    private ModuleActor module;
+    private Call watch;
+    private Call fetch;
+    private long revision = -1;
+    private volatile boolean known;
+
+    /** An actor for discovery at an address. */
+    public Discovery(String address, Config.Site site, Engines engines, Mailbox.Clock clock,
+            ModuleActor.Journal journal) {
+        this.address = address;
+        this.site = site;
+        this.engines = engines;
+        this.clock = clock;
+        this.journal = journal;
+        this.mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
+        this.offset = clock.micros() - System.currentTimeMillis() * 1000;
+    }
+
+    /** Names the module's actor and gives it the list as this router last had it. */
+    public void start(ModuleActor actor, byte[] saved) {
+        module = actor;
+        if (saved != null) {
+            try {
+                apply(saved, true, true);
+            } catch (IOException | Config.Malformed e) {
+                journal.log("known-list-unreadable", "error", e.getMessage());
+            }
+        }
+        Mailbox.thread("discovery", this::run).start();
+    }
+
+    /** Whether discovery has told the list since the start. */
+    public boolean known() {
+        return known;
+    }
+
+    @Override
+    public void watch() {
+        mailbox.post(new Ask(true));
+    }
+
+    @Override
+    public void unwatch() {
+        mailbox.post(new Unwatch());
+    }
+
+    @Override
+    public void fetch() {
+        mailbox.post(new Ask(false));
+    }
+
+    // ---- The actor ------------------------------------------------------------------------------------
+    private void run() {
+        try {
+            while (true) {
+                long until = Math.min(watch == null ? Long.MAX_VALUE : watch.until,
+                        fetch == null ? Long.MAX_VALUE : fetch.until);
+                Object m = mailbox.take(until);
+                long now = clock.micros();
+                if (m instanceof Ask a) {
+                    ask(a.watch, now);
+                } else if (m instanceof Unwatch) {
+                    Call c = watch;
+                    watch = null;
+                    close(c);
+                } else if (m instanceof Line l && (l.from == watch || l.from == fetch)) {
+                    line(l, now);
+                } else if (m instanceof Ended e && (e.from == watch || e.from == fetch)) {
+                    ended(e.from, e.why);
+                } else if (m == null) {
+                    for (Call c : new Call[] {watch, fetch}) {
+                        if (c != null && c.until <= now) {
+                            ended(c, "silent");
+                        }
+                    }
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void ask(boolean forWatch, long now) {
+        // One of a kind at a time: a second watch would be another call in discovery's queue.
+        close(forWatch ? watch : fetch);
+        Call c = new Call(forWatch);
+        c.until = now + PATIENCE;
+        if (forWatch) {
+            watch = c;
+        } else {
+            fetch = c;
+        }
+        journal.count("discovery_calls");
+        String target = "/discovery/hosts" + (!forWatch ? ""
+                : "?follow=1" + (revision >= 0 ? "&since=" + revision : ""));
+        Mailbox.thread("discovery-reader", () -> read(c, target)).start();
+    }
+
+    private void line(Line l, long now) {
+        l.from.until = now + SILENCE;
+        try {
+            if (l.bytes.length > 0 && !new String(l.bytes, StandardCharsets.UTF_8).isBlank()) {
+                apply(l.bytes, l.from.first, false);
+                l.from.first = false;
+            } else if (l.from.first) {
+                // A heartbeat alone says that nothing has changed since the revision asked from.
+                l.from.first = false;
+                told(ListKind.CHANGES, List.of());
+            }
+        } catch (IOException | Config.Malformed e) {
+            journal.log("list-unreadable", "error", e.getMessage());
+            ended(l.from, "unreadable");
+            return;
+        }
+        if (!l.from.watch && !l.from.first) {
+            close(fetch);
+            fetch = null;
+        }
+    }
+
+    private void ended(Call c, String why) {
+        close(c);
+        if (c == watch) {
+            watch = null;
+        } else {
+            fetch = null;
+        }
+        journal.count("discovery_failures");
+        journal.log("discovery-failed", "call", c.watch ? "watch" : "list", "why", why);
+        module.list(ListKind.ERROR, List.of());
+    }
+
+    private void told(ListKind kind, List<Server> servers) {
+        known = true;
+        module.list(kind, servers);
+    }
+
+    /** Takes a list or a change over, unless a newer one has been. */
+    private void apply(byte[] json, boolean first, boolean saved) throws IOException {
+        long number = -1;
+        boolean complete = saved;
+        List<Config.Entry> entries = List.of();
+        try (JsonParser p = Config.JSON.createParser(json)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                throw new Config.Malformed("must be an object");
+            }
+            while (p.nextToken() == JsonToken.FIELD_NAME) {
+                String name = p.currentName();
+                p.nextToken();
+                switch (name) {
+                    case "revision" -> number = (long) Config.number(p, name);
+                    case "complete" -> complete = p.getValueAsBoolean(false);
+                    case "members" -> entries = Config.entries(p, names);
+                    default -> p.skipChildren();
+                }
+            }
+        }
+        // A whole list that opens a watch is taken as it is: discovery may have begun its count anew.
+        if (number < revision && !(complete && first)) {
+            journal.count("old_revisions");
+            return;
+        }
+        revision = number;
+        if (complete) {
+            Set<String> ids = new HashSet<>();
+            entries.forEach(e -> ids.add(e.server().id()));
+            engines.only(ids);
+        }
+        for (Config.Entry e : entries) {
+            engines.place(e.server().id(), e.address(), e.server().state() == State.LIVE);
+        }
+        List<Server> servers = entries.stream().map(Config.Entry::server).toList();
+        if (saved) {
+            module.list(ListKind.SAVED, servers);
+        } else {
+            journal.log("list", "revision", Long.toString(number), "complete", Boolean.toString(complete),
+                    "entries", Integer.toString(servers.size()));
+            told(complete ? ListKind.COMPLETE : ListKind.CHANGES, servers);
+        }
+    }
+
+    private final Config.Names names = new Config.Names() {
+        @Override
+        public String field(String name) {
+            return switch (name) {
+                case "id" -> "id";
+                case "host_port" -> "address";
+                case "locality" -> "zone";
+                case "flavor" -> "kind";
+                case "cell" -> "cell";
+                case "phase" -> "state";
+                case "size" -> "weight";
+                case "up_since_ms" -> "since";
+                default -> null;
+            };
+        }
+
+        @Override
+        public int number(String field, JsonParser p) throws IOException {
+            if (p.currentToken().isNumeric()) {
+                return p.getIntValue();
+            }
+            return (field.equals("zone") ? site.zones() : site.kinds()).indexOf(Config.text(p, field));
+        }
+
+        @Override
+        public State state(String word) {
+            return switch (word) {
+                case "Ready" -> State.LIVE;
+                case "Terminating" -> State.DRAINING;
+                case "Gone" -> State.DEAD;
+                // Guards against sending work to an engine in a phase that this program does not know.
+                default -> State.DRAINING;
+            };
+        }
+
+        @Override
+        public long since(double ms) {
+            return ms <= 0 ? 0 : Math.max(1, Math.round(ms * 1000) + offset);
+        }
+    };
+
+    private static void close(Call c) {
+        if (c != null) {
+            Clients.closeQuietly(c.socket);
+        }
+    }
+
+    // ---- The reader -----------------------------------------------------------------------------------
+    private void read(Call c, String target) {
+        String why = "ended";
+        try (Socket s = c.socket) {
+            int colon = address.lastIndexOf(':');
+            s.setTcpNoDelay(true);
+            s.connect(new InetSocketAddress(address.substring(0, colon),
+                    Integer.parseInt(address.substring(colon + 1))), CONNECT_TIMEOUT_MS);
+            s.getOutputStream().write(("GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
+            if (in.await()) {
+                Http.Head h = in.head(false);
+                if (h.status() == 200) {
+                    in.lines(h, line -> post(c, line));
+                } else {
+                    why = "status " + h.status();
+                }
+            }
+        } catch (IOException | RuntimeException | OutOfMemoryError e) {
+            why = e.toString();
+        }
+        mailbox.post(new Ended(c, why));
+    }
+
+    private void post(Call c, byte[] line) throws IOException {
+        if (!mailbox.post(new Line(c, line), line.length)) {
+            throw new IOException("mailbox full");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -0,0 +1,648 @@
+package magpiehub.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+import magpiehub.core.ModuleActor.Attempt;
+
+/**
+ * The engines' side: where each engine listens, a pool of connections for each, and the relay of one answer
+ * at a time on a connection. The pools belong to the module's thread. Each connection has an actor that
+ * connects, writes and owns the attempt in hand, and a reader thread that only parses and posts. It owns the
+ * engines' part of the descriptors. It must never write a request to an engine that takes no work, have a
+ * request out on two connections, or pass on an event before the module has granted the stream.
+ */
+public final class Engines implements ModuleActor.Fleet {
+    /** Bytes that wait for one connection's actor; a whole answer is far smaller. */
+    private static final int MAILBOX_BYTES = 512 * 1024;
+    /** Part of the engines' idle time after which a connection is retired: a request written later than the
+     *  engine's own limit would end as a reset. */
+    private static final double RETIRE_AT = 0.5;
+    private static final int PROBE_TIMEOUT_MS = 1000;
+
+    /** Where an engine listens now, and whether it takes new work. */
+    private record Place(String hostPort, boolean takes) {
+    }
+
+    private final Mailbox.Clock clock;
+    private final ModuleActor.Journal journal;
+    private final int connectTimeoutMs;
+    private final long retireAfter;
+    private final int most;
+    private final Map<String, Place> places = new ConcurrentHashMap<>();
+    private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
+    private int connections;
+    private ModuleActor module;
+
+    /** Pools of at most so many connections together. */
+    public Engines(long connectTimeout, long idleClose, int most, Mailbox.Clock clock,
+            ModuleActor.Journal journal) {
+        this.clock = clock;
+        this.journal = journal;
+        this.connectTimeoutMs = (int) Math.max(1, connectTimeout / 1000);
+        this.retireAfter = Math.max(1, (long) (idleClose * RETIRE_AT));
+        this.most = most;
+    }
+
+    /** Names the module's actor; before anything else is called. */
+    public void module(ModuleActor actor) {
+        this.module = actor;
+    }
+
+    /** Discovery's word on one engine, before the module hears of it. Any thread. */
+    void place(String id, String hostPort, boolean takes) {
+        places.compute(id, (k, old) -> new Place(hostPort != null ? hostPort : old == null ? null
+                : old.hostPort,
+                takes));
+    }
+
+    /** Engines that a whole list does not name take no work. */
+    void only(java.util.Set<String> ids) {
+        places.replaceAll((id, p) -> ids.contains(id) ? p : new Place(p.hostPort, false));
+    }
+
+    // ---- The pools: the module's thread ---------------------------------------------------------------
+    @Override
+    public ModuleActor.Handle start(Attempt attempt) {
+        ArrayDeque<Connection> free = idle.get(attempt.server);
+        Connection c = free == null ? null : free.pollLast();
+        Lease lease = new Lease(attempt);
+        if (c == null) {
+            if (connections >= most && !evict()) {
+                journal.count("engine_connections_short");
+                module.ended(attempt, Outcome.FULL, -1);
+                return lease;
+            }
+            connections++;
+            c = new Connection(attempt.server);
+            Mailbox.thread("engine", c::run).start();
+        }
+        c.leased = true;
+        lease.connection = c;
+        c.mailbox.post(new Start(lease));
+        return lease;
+    }
+
+    /** Makes room by ending the connection that has been idle longest in the largest pool. */
+    private boolean evict() {
+        ArrayDeque<Connection> largest = null;
+        for (ArrayDeque<Connection> pool : idle.values()) {
+            largest = largest == null || pool.size() > largest.size() ? pool : largest;
+        }
+        Connection c = largest == null ? null : largest.pollFirst();
+        if (c != null) {
+            discharge(c);
+        }
+        return c != null;
+    }
+
+    private void discharge(Connection c) {
+        connections--;
+        c.mailbox.post(new Exit());
+    }
+
+    /** A connection's attempt is over; with its socket open it serves again, else it ends. */
+    private void freed(Connection c, boolean alive) {
+        c.leased = false;
+        Place p = places.get(c.server);
+        if (alive && p != null && p.takes) {
+            idle.computeIfAbsent(c.server, k -> new ArrayDeque<>()).addLast(c);
+        } else {
+            discharge(c);
+        }
+    }
+
+    /** A connection has closed while it was idle. One that was leased meanwhile connects anew. */
+    private void retired(Connection c) {
+        ArrayDeque<Connection> pool = idle.get(c.server);
+        if (!c.leased && pool != null && pool.remove(c)) {
+            discharge(c);
+        }
+    }
+
+    @Override
+    public void list(ListKind kind, List<Server> servers) {
+        for (Map.Entry<String, ArrayDeque<Connection>> e : idle.entrySet()) {
+            Place p = places.get(e.getKey());
+            if (p == null || !p.takes) {
+                closeIdle(e.getKey());
+            }
+        }
+    }
+
+    @Override
+    public void closeIdle(String server) {
+        ArrayDeque<Connection> pool = idle.get(server);
+        while (pool != null && !pool.isEmpty()) {
+            discharge(pool.poll());
+        }
+    }
+
+    @Override
+    public void probe(String server) {
+        long sentAt = clock.micros();
+        Mailbox.thread("probe", () -> {
+            Outcome o = Outcome.RESET;
+            boolean sent = false;
+            try (Socket s = new Socket()) {
+                connect(s, server);
+                s.setSoTimeout(PROBE_TIMEOUT_MS);
+                s.getOutputStream().write(("GET /alive HTTP/1.1\r\nHost: " + places.get(server).hostPort
+                        + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                sent = true;
+                Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
+                o = !in.await() ? Outcome.RESET : in.head(false).status() == 200 ? Outcome.OK : Outcome.FULL;
+            } catch (java.net.SocketTimeoutException e) {
+                o = sent ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
+            } catch (IOException | RuntimeException e) {
+                o = sent ? Outcome.RESET : Outcome.CONNECT_FAILED;
+            }
+            module.probed(server, o, sentAt);
+        }).start();
+    }
+
+    private void connect(Socket s, String server) throws IOException {
+        Place p = places.get(server);
+        if (p == null || p.hostPort == null) {
+            throw new IOException("no address");
+        }
+        int colon = p.hostPort.lastIndexOf(':');
+        s.setTcpNoDelay(true);
+        s.connect(new InetSocketAddress(p.hostPort.substring(0, colon),
+                Integer.parseInt(p.hostPort.substring(colon + 1))), connectTimeoutMs);
+    }
+
+    // ---- One attempt ----------------------------------------------------------------------------------
+    /** The module's hold on an attempt: whoever closes it first, its socket is closed once and at once. */
+    private static final class Lease implements ModuleActor.Handle {
+        final Attempt attempt;
+        Connection connection;
+        private Socket socket;
+        private boolean aborted;
+
+        Lease(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void grant() {
+            connection.mailbox.post(new Grant(this));
+        }
+
+        @Override
+        public void abort() {
+            synchronized (this) {
+                aborted = true;
+                if (socket != null) {
+                    Clients.closeQuietly(socket);
+                }
+            }
+            if (connection != null) {
+                connection.mailbox.post(new Stop(this));
+            }
+        }
+
+        /** False if the attempt has been given up: nothing may be written for it. */
+        synchronized boolean bind(Socket s) {
+            if (aborted) {
+                return false;
+            }
+            socket = s;
+            return true;
+        }
+    }
+
+    private record Start(Lease lease) {
+    }
+
+    private record Grant(Lease lease) {
+    }
+
+    private record Stop(Lease lease) {
+    }
+
+    private record Exit() {
+    }
+
+    /** What a reader has to say, with the socket that it reads from. */
+    private record Answered(Socket from, int status, boolean rejected, boolean reusable) {
+    }
+
+    private record Event(Socket from, byte[] bytes) {
+    }
+
+    private record End(Socket from, boolean reusable) {
+    }
+
+    private record Broken(Socket from, String why) {
+    }
+
+    private final class Connection {
+        private final String server;
+        private final Mailbox<Object> mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
+        /** The module's thread alone reads and writes this. */
+        private boolean leased;
+        private Socket socket;
+        private String connectedTo;
+        private Lease lease;
+        private Front.Sink sink;
+        private boolean begun;
+        private boolean granted;
+        private final ArrayDeque<byte[]> pending = new ArrayDeque<>(2);
+        /** How the attempt ended, kept back until the stream is granted or stopped. */
+        private Outcome outcome;
+        private byte[] error;
+        private boolean reusable;
+        private long kept;
+        private byte[] lastEvent;
+
+        Connection(String server) {
+            this.server = server;
+        }
+
+        void run() {
+            long idleUntil = Long.MAX_VALUE;
+            try {
+                while (true) {
+                    Object m = mailbox.take(idleUntil);
+                    if (m instanceof Exit) {
+                        return;
+                    }
+                    if (m == null) {
+                        retire();
+                    } else {
+                        handle(m);
+                    }
+                    idleUntil = lease == null && socket != null ? idleUntil == Long.MAX_VALUE
+                            ? clock.micros() + retireAfter : idleUntil : Long.MAX_VALUE;
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                drop();
+            }
+        }
+
+        private void handle(Object m) {
+            try {
+                if (m instanceof Start s) {
+                    begin(s.lease);
+                } else if (m instanceof Grant g && g.lease == lease) {
+                    granted = true;
+                    pending.forEach(sink::event);
+                    pending.clear();
+                    finish();
+                } else if (m instanceof Stop s && s.lease == lease) {
+                    drop();
+                    free(false);
+                } else if (m instanceof Answered a && a.from == socket) {
+                    answered(a);
+                } else if (m instanceof Event e && e.from == socket) {
+                    event(e.bytes);
+                } else if (m instanceof End e && e.from == socket) {
+                    end(e);
+                } else if (m instanceof Broken b && b.from == socket) {
+                    broke(b.why);
+                }
+            } catch (RuntimeException e) {
+                // Ends this attempt's work, answers given: the module hears of a reset.
+                journal.count("engine_exceptions");
+                journal.log("engine-exception", "engine", server, "error", e.toString());
+                broke(e.toString());
+            }
+        }
+
+        private void begin(Lease l) {
+            lease = l;
+            begun = false;
+            granted = false;
+            pending.clear();
+            outcome = null;
+            error = null;
+            kept = -1;
+            lastEvent = null;
+            Object work = l.attempt.work();
+            if (!(work instanceof Front.Call call)) {
+                fail(Outcome.CANCELLED);
+                return;
+            }
+            sink = call.sink();
+            boolean reused = socket != null;
+            while (true) {
+                Place p = places.get(server);
+                // The list may have changed since the module decided: a draining engine gets nothing new.
+                if (p == null || !p.takes) {
+                    journal.count("drained_before_write");
+                    fail(Outcome.CONNECT_FAILED);
+                    return;
+                }
+                if (socket != null && !p.hostPort.equals(connectedTo)) {
+                    drop();
+                    reused = false;
+                }
+                try {
+                    if (socket == null) {
+                        open(l, p);
+                    } else if (!l.bind(socket)) {
+                        drop();
+                        free(false);
+                        return;
+                    }
+                    if (places.get(server) == null || !places.get(server).takes) {
+                        journal.count("drained_before_write");
+                        fail(Outcome.CONNECT_FAILED);
+                        return;
+                    }
+                    socket.getOutputStream().write(request(call, l.attempt));
+                    return;
+                } catch (IOException e) {
+                    drop();
+                    if (!l.bind(null)) {
+                        free(false);
+                        return;
+                    }
+                    if (!reused) {
+                        journal.count("connect_failures");
+                        journal.log("connect-failed", "engine", server, "error", e.toString());
+                        fail(Outcome.CONNECT_FAILED);
+                        return;
+                    }
+                    reused = false; // The engine had closed it while it was idle: nothing has run.
+                    journal.count("stale_connections");
+                }
+            }
+        }
+
+        private void open(Lease l, Place p) throws IOException {
+            Socket s = new Socket();
+            if (!l.bind(s)) {
+                throw new IOException("given up");
+            }
+            socket = s;
+            connectedTo = p.hostPort;
+            journal.count("engine_connects");
+            connect(s, server);
+            Mailbox.thread("engine-reader", () -> read(s)).start();
+        }
+
+        private byte[] request(Front.Call call, Attempt a) {
+            long left = Math.max(1, (a.until - clock.micros()) / 1000);
+            return new Http.Output().text("POST " + call.target + " HTTP/1.1\r\nHost: " + connectedTo
+                    + "\r\nContent-Type: application/json\r\nContent-Length: " + call.body.length
+                    + "\r\nX-Call-Id: " + call.request.id() + "\r\nX-Budget-Ms: " + left + "\r\n\r\n")
+                    .bytes(call.body).take();
+        }
+
+        private void answered(Answered a) {
+            if (lease == null) {
+                retire();
+                return;
+            }
+            reusable = a.reusable;
+            if (!a.reusable) {
+                drop();
+            }
+            boolean never = (a.status == 503 || a.status == 504) && a.rejected;
+            if (!never) {
+                journal.log("engine-error", "engine", server, "status", Integer.toString(a.status));
+            }
+            fail(never ? Outcome.FULL : Outcome.ERROR);
+        }
+
+        private void event(byte[] bytes) {
+            if (lease == null) {
+                retire();
+                return;
+            }
+            if (outcome != null) {
+                return;
+            }
+            if (Stream.isError(bytes)) {
+                journal.log("engine-error-event", "engine", server, "begun", Boolean.toString(begun));
+                drop();
+                if (!begun) {
+                    fail(Outcome.ERROR);
+                } else {
+                    error = bytes;
+                    outcome = Outcome.ERROR;
+                    finish();
+                }
+                return;
+            }
+            long k = Stream.kept(bytes);
+            kept = k >= 0 ? k : kept;
+            lastEvent = bytes;
+            start();
+            if (granted) {
+                sink.event(bytes);
+            } else {
+                pending.add(bytes);
+            }
+        }
+
+        private void start() {
+            if (!begun) {
+                begun = true;
+                module.begun(lease.attempt);
+            }
+        }
+
+        private void end(End e) {
+            if (lease == null) {
+                retire();
+                return;
+            }
+            if (outcome != null) {
+                return;
+            }
+            reusable = e.reusable;
+            if (!e.reusable) {
+                drop();
+            }
+            if (lastEvent != null && !Stream.known(lastEvent)) {
+                // The framing says that the stream is whole, whatever its last event is called.
+                journal.count("unknown_last_events");
+                journal.log("unknown-last-event", "engine", server, "event", Stream.brief(lastEvent));
+            }
+            start();
+            outcome = Outcome.OK;
+            finish();
+        }
+
+        private void broke(String why) {
+            if (lease == null) {
+                retire();
+                return;
+            }
+            drop();
+            if (outcome != null) {
+                return;
+            }
+            journal.log("engine-broke", "engine", server, "begun", Boolean.toString(begun), "why", why);
+            if (!begun) {
+                fail(Outcome.RESET);
+            } else {
+                outcome = Outcome.RESET;
+                finish();
+            }
+        }
+
+        /** Ends a begun stream once it is granted: the client's side first, then the module. */
+        private void finish() {
+            if (!granted || outcome == null || lease == null) {
+                return;
+            }
+            if (outcome == Outcome.OK) {
+                sink.end();
+            } else {
+                sink.broken(error);
+            }
+            over(outcome);
+        }
+
+        /** Ends an attempt that has begun nothing. A socket that may still bring an answer is closed
+         * first. */
+        private void fail(Outcome o) {
+            if (o != Outcome.FULL && o != Outcome.ERROR) {
+                drop();
+            }
+            over(o);
+        }
+
+        private void over(Outcome o) {
+            Attempt a = lease.attempt;
+            lease.bind(null);
+            free(socket != null && reusable);
+            module.ended(a, o, kept);
+        }
+
+        private void free(boolean alive) {
+            lease = null;
+            sink = null;
+            if (!alive) {
+                drop();
+            }
+            module.execute(() -> freed(this, alive));
+        }
+
+        private void retire() {
+            drop();
+            module.execute(() -> retired(this));
+        }
+
+        private void drop() {
+            if (socket != null) {
+                Clients.closeQuietly(socket);
+                socket = null;
+            }
+        }
+
+        // ---- The reader -------------------------------------------------------------------------------
+        private void read(Socket s) {
+            String why = "ended";
+            try {
+                Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
+                while (in.await()) {
+                    Http.Head h = in.head(false);
+                    while (h.status() / 100 == 1) {
+                        h = in.head(false);
+                    }
+                    if (h.status() == 200) {
+                        in.events(h, e -> {
+                            if (!mailbox.post(new Event(s, e), e.length)) {
+                                throw new IOException("mailbox full");
+                            }
+                        });
+                        mailbox.post(new End(s, !h.closes()));
+                    } else {
+                        in.body(h);
+                        mailbox.post(new Answered(s, h.status(), "1".equals(h.get("X-Rejected")),
+                                !h.closes()));
+                    }
+                }
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
+                why = e.toString();
+            }
+            mailbox.post(new Broken(s, why));
+        }
+    }
+
+    /** What an engine's events say to the router; the events themselves pass through as they are. */
+    static final class Stream {
+        private Stream() {
+        }
+
+        private static boolean contains(byte[] b, String word) {
+            int n = word.length();
+            outer:
+            for (int i = 0; i + n <= b.length; i++) {
+                for (int j = 0; j < n; j++) {
+                    if (b[i + j] != word.charAt(j)) {
+                        continue outer;
+                    }
+                }
+                return true;
+            }
+            return false;
+        }
+
+        /** The event's data: what stands behind its {@code data:} fields. */
+        static String data(byte[] event) {
+            StringBuilder d = new StringBuilder();
+            for (String line : new String(event, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
+                if (line.startsWith("data:")) {
+                    d.append(d.length() > 0 ? "\n" : "").append(line.substring(line.startsWith("data: ")
+                            ? 6 : 5));
+                }
+            }
+            return d.toString();
+        }
+
+        /** An error told inside a stream: its name says so, or its data is an object that begins with one. */
+        static boolean isError(byte[] event) {
+            if (!contains(event, "error")) {
+                return false;
+            }
+            String text = new String(event, StandardCharsets.UTF_8);
+            return text.startsWith("event: error") || text.contains("\nevent: error")
+                    || data(event).replace(" ", "").startsWith("{\"error\"");
+        }
+
+        /** An event of the engines' dialect, or a comment. */
+        static boolean known(byte[] event) {
+            return event.length == 0 || event[0] == ':' || contains(event, "\"choices\"")
+                    || data(event).equals("[DONE]");
+        }
+
+        /** Prompt tokens found kept, where the event tells it; else -1. */
+        static long kept(byte[] event) {
+            if (!contains(event, "\"cached_tokens\"")) {
+                return -1;
+            }
+            try {
+                return (long) Config.facts(data(event).getBytes(StandardCharsets.UTF_8), "event")
+                        .object("usage")
+                        .object("prompt_tokens_details").number("cached_tokens", -1);
+            } catch (IOException | Config.Malformed e) {
+                return -1; // An answer's text may hold the word too.
+            }
+        }
+
+        /** The event's beginning, for the log. */
+        static String brief(byte[] event) {
+            return new String(event, 0, Math.min(event.length, 120), StandardCharsets.UTF_8).strip();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/magpiehub/net/Front.java
@@ -0,0 +1,76 @@
+package magpiehub.net;
+
+import magpiehub.core.Contract.Request;
+
+/**
+ * What a client dialect is to the connections: it reads a request into the module's terms, and gives each
+ * step of an answer its bytes. A front owns the words of its dialect and nothing else. It must never keep
+ * state beyond one call, touch a socket, or decide what becomes of a request.
+ */
+public interface Front {
+    /** Reads a request whose last byte has come; {@code at} is when its first byte came. */
+    Call read(Http.Head head, byte[] body, long at) throws Http.Bad;
+
+    /** A whole answer to what is no request of this dialect, or can't be taken now. */
+    void error(Http.Output out, int status, String why, long retryAfter, boolean close);
+
+    /** One request of a client and its answer in the client's dialect; used from one actor's thread. */
+    abstract class Call {
+        /** The request in the module's terms. */
+        public final Request request;
+        /** What engines are sent: the target, and the body. */
+        public final String target;
+        public final byte[] body;
+        /** The stream that gets the events; set by the connection that took the request. */
+        private volatile Sink sink;
+
+        protected Call(Request request, String target, byte[] body) {
+            this.request = request;
+            this.target = target;
+            this.body = body;
+        }
+
+        final Sink sink() {
+            return sink;
+        }
+
+        final void sink(Sink to) {
+            sink = to;
+        }
+
+        /** The head of a served answer, and what the dialect says before the first event. */
+        public abstract void begin(Http.Output out, boolean close);
+
+        /** One event of the engine's stream. */
+        public abstract void event(Http.Output out, byte[] event);
+
+        /** The end of a stream that is whole. */
+        public abstract void end(Http.Output out, boolean close);
+
+        /** The last words of a stream that broke: never its end. {@code error} is the engine's own, or
+         * null. */
+        public abstract void broken(Http.Output out, byte[] error);
+
+        /** Turned away; a retry is harmless. */
+        public abstract void refused(Http.Output out, long retryAfter, boolean close);
+
+        /** Failed. */
+        public abstract void failed(Http.Output out, String why, boolean close);
+    }
+
+    /** Where the events of a granted stream go: the client's actor. */
+    interface Sink {
+        void event(byte[] event);
+
+        void end();
+
+        /** The stream broke; {@code error} is the engine's error event, or null. */
+        void broken(byte[] error);
+    }
+
+    /** Seconds with three decimals, never zero. */
+    static String seconds(long micros) {
+        long ms = Math.max(1, (micros + 999) / 1000);
+        return ms / 1000 + "." + String.format("%03d", ms % 1000);
+    }
+}
--- a/src/main/java/magpiehub/WarmUp.java
+++ b/src/main/java/magpiehub/sim/WarmUp.java
@@ -1,4 +1,4 @@
-package magpiehub;
+package magpiehub.sim;
 
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
@@ -10,14 +10,15 @@
  * Plays a made-up exchange through a throw-away adapter before the first real batch, so that parsing and
  * decisions are compiled when they are needed. Nothing of it is kept: the adapter and its node are dropped.
  */
-final class WarmUp {
+public final class WarmUp {
     private static final int ROUNDS = 2500;
     private static final int SERVERS = 24;
 
     private WarmUp() {
     }
 
-    static void run() throws IOException {
+    /** Plays it. */
+    public static void run() throws IOException {
         byte[] script = script();
         PrintStream nowhere = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
         new Drill(new ByteArrayInputStream(script), OutputStream.nullOutputStream(), nowhere).run();
--- a/src/test/java/magpiehub/Bench.java
+++ b/src/test/java/magpiehub/core/Bench.java
@@ -1,23 +1,23 @@
-package magpiehub;
+package magpiehub.core;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import magpiehub.Contract.Costs;
-import magpiehub.Contract.Effect;
-import magpiehub.Contract.Group;
-import magpiehub.Contract.Guarantees;
-import magpiehub.Contract.Limits;
-import magpiehub.Contract.ListKind;
-import magpiehub.Contract.Outcome;
-import magpiehub.Contract.Request;
-import magpiehub.Contract.RequestClass;
-import magpiehub.Contract.Server;
-import magpiehub.Contract.Settings;
-import magpiehub.Contract.State;
-import magpiehub.Contract.Tenant;
-import magpiehub.Contract.Weights;
+import magpiehub.core.Contract.Costs;
+import magpiehub.core.Contract.Effect;
+import magpiehub.core.Contract.Group;
+import magpiehub.core.Contract.Guarantees;
+import magpiehub.core.Contract.Limits;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.Request;
+import magpiehub.core.Contract.RequestClass;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.Settings;
+import magpiehub.core.Contract.State;
+import magpiehub.core.Contract.Tenant;
+import magpiehub.core.Contract.Weights;
 
 /** One node under test: feeds events, records actions. Times are in microseconds. */
 final class Bench implements Contract.Actions {
--- a/src/test/java/magpiehub/EmbeddingExampleTest.java
+++ b/src/test/java/magpiehub/core/EmbeddingExampleTest.java
@@ -1,11 +1,11 @@
-package magpiehub;
+package magpiehub.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import magpiehub.Contract.ListKind;
-import magpiehub.Contract.Outcome;
-import magpiehub.Contract.Request;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.Request;
 import org.junit.jupiter.api.Test;
 
 /** The README's embedding example, compiled and run: one request from its coming to its answer. */
--- a/src/test/java/magpiehub/RandomEventsTest.java
+++ b/src/test/java/magpiehub/core/RandomEventsTest.java
@@ -1,4 +1,4 @@
-package magpiehub;
+package magpiehub.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,15 +12,15 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import magpiehub.Contract.Effect;
-import magpiehub.Contract.Group;
-import magpiehub.Contract.ListKind;
-import magpiehub.Contract.Outcome;
-import magpiehub.Contract.Request;
-import magpiehub.Contract.RequestClass;
-import magpiehub.Contract.Server;
-import magpiehub.Contract.State;
-import magpiehub.Contract.Tenant;
+import magpiehub.core.Contract.Effect;
+import magpiehub.core.Contract.Group;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.Request;
+import magpiehub.core.Contract.RequestClass;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.State;
+import magpiehub.core.Contract.Tenant;
 import org.junit.jupiter.api.Test;
 
 /** Seeded random events over many settings, with the rules checked after each action. */
--- a/src/test/java/magpiehub/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -1,4 +1,4 @@
-package magpiehub;
+package magpiehub.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -10,11 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import magpiehub.Contract.Effect;
-import magpiehub.Contract.Group;
-import magpiehub.Contract.ListKind;
-import magpiehub.Contract.Outcome;
-import magpiehub.Contract.State;
+import magpiehub.core.Contract.Effect;
+import magpiehub.core.Contract.Group;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.State;
 import org.junit.jupiter.api.Test;
 
 /** The ordinary path step by step, and each exception to it. */
--- a/src/test/java/magpiehub/DrillTest.java
+++ b/src/test/java/magpiehub/sim/DrillTest.java
@@ -1,4 +1,4 @@
-package magpiehub;
+package magpiehub.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
