Add the messages front, Retry-After from the module, and recorded exchanges

The messages front translates POST /v1/messages to and from the engines' form on the same core; it is off unless deploy/messages.json gives its address.

Retry-After: deadline.txt, played first, got a 503 without one: turnAway in Rules.java passed 0. The module now says when its next control turn, pause or ejection ends. Only the words change, never the time of the answer.

Error events inside a stream: before text they are a failed attempt, after it a broken stream, told to the client and never retried.

The first run of the exchanges hung for ten minutes: an accept without a limit, waiting for an engine that the ring does not choose first.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -2,11 +2,15 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import magpiehub.config.Config;
 import magpiehub.core.Mailbox;
 import magpiehub.core.ModuleActor;
+import magpiehub.front.MessagesFront;
 import magpiehub.front.PlatformFront;
 import magpiehub.net.Clients;
 import magpiehub.net.Discovery;
@@ -25,6 +29,9 @@
     /** After SIGTERM: how long new connections are accepted and idle ones kept (ms). */
     private static final long HAND_OVER_MS = 600;
 
+    /** Connections for the messages front, where it is on. */
+    private static final int MESSAGES_CLIENTS = 64;
+
     private Main() {
     }
 
@@ -65,13 +72,23 @@
         engines.module(module);
         Supplier<String> counters = log::counters;
         AtomicBoolean warm = new AtomicBoolean();
+        BooleanSupplier ready = () -> warm.get() && discovery.known();
         Clients clients = new Clients(socketAddress(r.listen()), new PlatformFront(r.site()), module,
                 clock, log,
-                () -> warm.get() && discovery.known(), counters, share * 15 / 16 - 4);
+                ready, counters, share * 15 / 16 - 4);
         clients.start();
+        // Off unless a file of the deployment's gives its address; the platform has none.
+        MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
+        Clients messages = options == null ? null : new Clients(socketAddress(options.listen()),
+                new MessagesFront(r.site(), options), module, clock, log, ready, counters, MESSAGES_CLIENTS);
+        if (messages != null) {
+            messages.start();
+            log.log("messages-front", "listen", options.listen());
+        }
+        List<Clients> fronts = messages == null ? List.of(clients) : List.of(clients, messages);
         discovery.start(module, r.known());
         Mailbox.thread("module", module::run).start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(clients, module, log)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, log)));
         WarmUp.run();
         warm.set(true);
         log.log("started", "listen", r.listen());
@@ -83,13 +100,15 @@
     }
 
     /** SIGTERM: new connections for the hand-over, then only what is held, then the counters and the end. */
-    private static void stop(Clients clients, ModuleActor module, Log log) {
+    private static void stop(List<Clients> fronts, ModuleActor module, Log log) {
         try {
             log.log("stopping", "held", Integer.toString(module.held()));
-            clients.announceClosing();
+            fronts.forEach(Clients::announceClosing);
             Thread.sleep(HAND_OVER_MS);
-            clients.stopAccepting();
-            while (clients.open() > 0) {
+            for (Clients c : fronts) {
+                c.stopAccepting();
+            }
+            while (fronts.stream().anyMatch(c -> c.open() > 0)) {
                 Thread.sleep(5);
             }
         } catch (IOException | InterruptedException e) {
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -671,13 +671,24 @@
     /** The final answer when there is nothing better: refused if a retry is harmless, else failed. */
     private void turnAway(Held h) {
         if (mayRefuse(h)) {
-            out.refuse(h.r.id(), 0);
+            out.refuse(h.r.id(), comeBack());
         } else {
             out.fail(h.r.id());
         }
         end(h);
     }
 
+    /** When what stands in the way may have passed: the next turn of the overload control, or the soonest end
+     *  of a pause or an ejection. Guards against clients that come back at once, and to nothing better. */
+    private long comeBack() {
+        if (!s.limits().retryAfter()) { return 0; }
+        long at = shed > 0 ? lastControl + CONTROL : now + s.limits().maxRetryAfter();
+        for (Replica r : fleet) {
+            if (r.ready) { at = Math.min(at, Math.max(r.busyUntil, r.ejected ? r.ejectedUntil : now)); }
+        }
+        return Math.max(SWEEP, at - now);
+    }
+
     @Override
     public void abandoned(long time, String id) {
         at(time);
--- /dev/null
+++ b/src/main/java/magpiehub/front/MessagesFront.java
@@ -0,0 +1,320 @@
+package magpiehub.front;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import magpiehub.config.Config;
+import magpiehub.config.Config.Facts;
+import magpiehub.core.Contract.Request;
+import magpiehub.net.Front;
+import magpiehub.net.Http;
+
+/**
+ * The messages API's form: {@code POST /v1/messages}, answered with {@code message_start},
+ * {@code content_block_delta}, {@code message_delta} and {@code message_stop}, or as one message. It owns the
+ * translation between that dialect and the engines'. It must never say {@code message_stop} or give a whole
+ * message for a stream that the engines' framing has not ended, and it decides nothing: class, deadline,
+ * attempts and outcome are the core's, as for the platform's front.
+ */
+public final class MessagesFront implements Front {
+    private static final String PATH = "/v1/messages";
+    /** As everywhere on the platform. */
+    private static final int CHARACTERS_A_TOKEN = 4;
+    /** Session and prefix ids stay below what the simulator's wire can carry. */
+    private static final long ID_MASK = (1L << 53) - 1;
+
+    /** Where this front listens, and what a request is that does not say it: the file's own words. */
+    public record Options(String listen, String cls, String tenant, Map<String, Object> models) {
+        /** The options in a file; null if there is none, and then this front is off. */
+        public static Options read(Path file) throws IOException {
+            if (!Files.exists(file)) {
+                return null;
+            }
+            Facts f = Config.facts(Files.readAllBytes(file), file.getFileName().toString());
+            String listen = f.text("listen", null);
+            if (listen == null) {
+                throw new Config.Malformed(file.getFileName() + " gives no address in \"listen\"");
+            }
+            return new Options(Config.address(listen), f.text("class", ""), f.text("tenant", ""),
+                    f.object("models").map());
+        }
+    }
+
+    private final Config.Site site;
+    private final Options options;
+
+    public MessagesFront(Config.Site site, Options options) {
+        this.site = site;
+        this.options = options;
+    }
+
+    // ---- Requests -------------------------------------------------------------------------------------
+    @Override
+    public Call read(Http.Head head, byte[] body, long at) throws Http.Bad {
+        String target = head.start[1];
+        if (!target.equals(PATH) && !target.startsWith(PATH + "?")) {
+            throw new Http.Bad(404, "no such path");
+        }
+        if (!head.start[0].equals("POST")) {
+            throw new Http.Bad(405, "POST only");
+        }
+        try {
+            return translated(head, Config.facts(body, "request"), at);
+        } catch (Config.Malformed e) {
+            throw new Http.Bad(400, e.getMessage());
+        } catch (Http.Bad e) {
+            throw e;
+        } catch (IOException e) {
+            throw new Http.Bad(400, "body is unreadable");
+        }
+    }
+
+    private Call translated(Http.Head head, Facts f, long at) throws Http.Bad {
+        String model = f.text("model", null);
+        double most = f.number("max_tokens", 0);
+        List<Facts> messages = f.objects("messages");
+        if (model == null || most < 1 || messages.isEmpty()) {
+            throw new Http.Bad(400, "model, max_tokens and messages are required");
+        }
+        String system = text(f, "system");
+        StringBuilder b = new StringBuilder(256 + system.length());
+        b.append("{\"model\":").append(quoted(model)).append(",\"stream\":true,\"stream_options\":")
+                .append("{\"include_usage\":true},\"max_tokens\":").append((long) most);
+        for (String name : List.of("temperature", "top_p")) {
+            if (f.map().containsKey(name)) {
+                b.append(",\"").append(name).append("\":").append(f.number(name, 1));
+            }
+        }
+        List<String> stops = f.texts("stop_sequences");
+        for (int i = 0; i < stops.size(); i++) {
+            b.append(i == 0 ? ",\"stop\":[" : ",").append(quoted(stops.get(i)));
+        }
+        b.append(stops.isEmpty() ? "" : "]").append(",\"messages\":[");
+        long characters = system.length();
+        if (!system.isEmpty()) {
+            b.append("{\"role\":\"system\",\"content\":").append(quoted(system)).append("},");
+        }
+        String opening = null;
+        for (Facts m : messages) {
+            String role = m.text("role", "");
+            if (!role.equals("user") && !role.equals("assistant")) {
+                throw new Http.Bad(400, "messages.role must be user or assistant");
+            }
+            String content = text(m, "content");
+            opening = opening == null ? content : opening;
+            characters += content.length();
+            b.append("{\"role\":\"").append(role).append("\",\"content\":").append(quoted(content))
+                    .append("},");
+        }
+        b.setCharAt(b.length() - 1, ']');
+        byte[] body = b.append('}').toString().getBytes(StandardCharsets.UTF_8);
+        if (body.length > Http.MOST_BODY) {
+            throw new Http.Bad(413, "body too large");
+        }
+        String cls = head.get("X-Call-Class");
+        int c = site.cls(cls != null ? cls : options.models.get(model) instanceof String s ? s : options.cls);
+        String tenant = head.get("X-Caller");
+        String id = head.get("X-Call-Id");
+        String route = head.get("X-Route-Hash");
+        String budget = head.get("X-Budget-Ms");
+        long wait = budget != null ? PlatformFront.budget(budget)
+                : c >= 0 ? site.settings().classes().get(c).deadline() : 0;
+        // A conversation is known by its opening: each turn brings all that went before.
+        long session = route != null ? PlatformFront.whole(route, 16, "X-Route-Hash")
+                : hash(f.object("metadata").text("user_id", "") + '\n' + system + '\n' + opening);
+        Request r = new Request(id != null ? PlatformFront.id(id) : newId(), c,
+                site.tenant(tenant != null ? tenant : options.tenant), session,
+                system.isEmpty() ? 0 : hash(system), at + wait, 0, characters / CHARACTERS_A_TOKEN,
+                system.length() / CHARACTERS_A_TOKEN, most, false, false, false);
+        return new Translated(r, body, model, f.flag("stream", false));
+    }
+
+    /** A text, or the texts of a list of blocks; other blocks are not what these engines take. */
+    private static String text(Facts f, String key) throws Http.Bad {
+        Object v = f.map().get(key);
+        if (v == null || v instanceof String) {
+            return v == null ? "" : (String) v;
+        }
+        StringBuilder b = new StringBuilder();
+        for (Facts block : f.objects(key)) {
+            if (!block.text("type", "").equals("text")) {
+                throw new Http.Bad(400, key + " may hold text blocks only");
+            }
+            b.append(block.text("text", ""));
+        }
+        return b.toString();
+    }
+
+    private static long hash(String s) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < s.length(); i++) {
+            h = (h ^ s.charAt(i)) * 0x100000001b3L;
+        }
+        return (h ^ h >>> 32) & ID_MASK | 1;
+    }
+
+    private static String newId() {
+        return String.format("%016x", ThreadLocalRandom.current().nextLong());
+    }
+
+    private static String quoted(String s) {
+        return '"' + String.valueOf(JsonStringEncoder.getInstance().quoteAsString(s)) + '"';
+    }
+
+    // ---- Answers --------------------------------------------------------------------------------------
+    @Override
+    public void error(Http.Output out, int status, String why, long retryAfter, boolean close) {
+        // The dialect has a status of its own for 'overloaded'.
+        int said = status == 503 ? 529 : status;
+        byte[] body = (error(said, why) + "\n").getBytes(StandardCharsets.UTF_8);
+        if (retryAfter > 0) {
+            Http.answer(out, said, "application/json", body, close, "Retry-After", Front.seconds(retryAfter));
+        } else {
+            Http.answer(out, said, "application/json", body, close);
+        }
+    }
+
+    private static String error(int status, String why) {
+        String type = switch (status) {
+            case 400, 405, 408, 431 -> "invalid_request_error";
+            case 404 -> "not_found_error";
+            case 413 -> "request_too_large";
+            case 504 -> "timeout_error";
+            case 529 -> "overloaded_error";
+            default -> "api_error";
+        };
+        return "{\"type\":\"error\",\"error\":{\"type\":\"" + type + "\",\"message\":" + quoted(why) + "}}";
+    }
+
+    private final class Translated extends Call {
+        private final String model;
+        private final boolean stream;
+        private final StringBuilder whole = new StringBuilder();
+        private String stop = "end_turn";
+        private long read;
+        private long kept;
+        private long made;
+
+        Translated(Request request, byte[] body, String model, boolean stream) {
+            super(request, PlatformFront.PATH, body);
+            this.model = model;
+            this.stream = stream;
+        }
+
+        private static void say(Http.Output out, String name, String more) {
+            out.chunk(("event: " + name + "\ndata: {\"type\":\"" + name + '"' + more + "}\n\n")
+                    .getBytes(StandardCharsets.UTF_8));
+        }
+
+        private String message(String content, String stopReason) {
+            return "{\"id\":\"msg_" + request.id()
+                    + "\",\"type\":\"message\",\"role\":\"assistant\",\"model\":"
+                    + quoted(model) + ",\"content\":[" + content + "],\"stop_reason\":" + stopReason
+                    + ",\"stop_sequence\":null,\"usage\":" + usage() + "}";
+        }
+
+        private String usage() {
+            return "{\"input_tokens\":" + (read - kept) + ",\"cache_read_input_tokens\":" + kept
+                    + ",\"output_tokens\":" + made + "}";
+        }
+
+        @Override
+        public void begin(Http.Output out, boolean close) {
+            if (stream) {
+                read = (long) request.promptTokens();
+                Http.streamHead(out, close);
+                say(out, "message_start", ",\"message\":" + message("", "null"));
+                say(out, "content_block_start",
+                        ",\"index\":0,\"content_block\":{\"type\":\"text\",\"text\":\"\"}");
+            }
+        }
+
+        @Override
+        public void event(Http.Output out, byte[] event) {
+            if (event.length > 0 && event[0] == ':') {
+                if (stream) {
+                    say(out, "ping", ""); // The engine's sign of life, in this dialect's word for it.
+                }
+                return;
+            }
+            Facts f;
+            try {
+                f = Config.facts(Front.data(event).getBytes(StandardCharsets.UTF_8), "event");
+                for (Facts choice : f.objects("choices")) {
+                    String text = choice.object("delta").text("content", "");
+                    stop = switch (choice.text("finish_reason", "")) {
+                        case "length" -> "max_tokens";
+                        case "content_filter" -> "refusal";
+                        default -> stop;
+                    };
+                    if (!text.isEmpty() && stream) {
+                        say(out, "content_block_delta",
+                                ",\"index\":0,\"delta\":{\"type\":\"text_delta\",\"text\":"
+                                        + quoted(text) + "}");
+                    } else {
+                        whole.append(text);
+                    }
+                }
+                Facts usage = f.object("usage");
+                read = (long) usage.number("prompt_tokens", read);
+                made = (long) usage.number("completion_tokens", made);
+                kept = Math.min(read, (long) usage
+                        .object("prompt_tokens_details").number("cached_tokens", kept));
+            } catch (IOException | Config.Malformed e) {
+                // An event that is none of ours says nothing in this dialect; the engines' side counts it.
+                return;
+            }
+        }
+
+        @Override
+        public void end(Http.Output out, boolean close) {
+            if (!stream) {
+                Http.answer(out, 200, "application/json", message("{\"type\":\"text\",\"text\":"
+                        + quoted(whole.toString()) + "}", quoted(stop)).getBytes(StandardCharsets.UTF_8),
+                                close);
+                return;
+            }
+            say(out, "content_block_stop", ",\"index\":0");
+            say(out, "message_delta", ",\"delta\":{\"stop_reason\":" + quoted(stop)
+                    + ",\"stop_sequence\":null},\"usage\":" + usage());
+            say(out, "message_stop", "");
+            out.lastChunk();
+        }
+
+        @Override
+        public void broken(Http.Output out, byte[] error) {
+            String why = error == null ? "the stream broke" : "the engine failed: " + reason(error);
+            if (stream) {
+                out.chunk(("event: error\ndata: " + error(500, why)
+                        + "\n\n").getBytes(StandardCharsets.UTF_8));
+            } else {
+                MessagesFront.this.error(out, 500, why, 0, true);
+            }
+        }
+
+        private static String reason(byte[] error) {
+            try {
+                return Config.facts(Front.data(error).getBytes(StandardCharsets.UTF_8), "event")
+                        .object("error")
+                        .text("message", "no reason given");
+            } catch (IOException | Config.Malformed e) {
+                return "no reason given";
+            }
+        }
+
+        @Override
+        public void refused(Http.Output out, long retryAfter, boolean close) {
+            error(out, 503, "refused", retryAfter, close);
+        }
+
+        @Override
+        public void failed(Http.Output out, String why, boolean close) {
+            error(out, 504, why, 0, close);
+        }
+    }
+}
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -37,14 +37,8 @@
 
     /** The request that the platform's headers describe. */
     static Request request(Config.Site site, Http.Head head, long at) throws Http.Bad {
-        String id = need(head, "X-Call-Id");
-        if (id.isEmpty() || id.length() > 64 || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
-            throw new Http.Bad(400, "malformed X-Call-Id");
-        }
-        long budget = whole(need(head, "X-Budget-Ms"), 10, "X-Budget-Ms");
-        if (budget > 86_400_000) {
-            throw new Http.Bad(400, "malformed X-Budget-Ms");
-        }
+        String id = id(need(head, "X-Call-Id"));
+        long budget = budget(need(head, "X-Budget-Ms"));
         String tenant = head.get("X-Caller");
         String route = head.get("X-Route-Hash");
         long prefix = 0;
@@ -69,10 +63,26 @@
         String again = head.get("X-Again");
         return new Request(id, site.cls(need(head, "X-Call-Class")), tenant == null ? -1
                 : site.tenant(tenant),
-                route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget * 1000, 0,
+                route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget, 0,
                 lengths[0], lengths[1], lengths[2], "1".equals(again), false, "again".equals(again));
     }
 
+    static String id(String id) throws Http.Bad {
+        if (id.isEmpty() || id.length() > 64 || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+            throw new Http.Bad(400, "malformed X-Call-Id");
+        }
+        return id;
+    }
+
+    /** How long the client waits (us). */
+    static long budget(String ms) throws Http.Bad {
+        long budget = whole(ms, 10, "X-Budget-Ms");
+        if (budget > 86_400_000) {
+            throw new Http.Bad(400, "malformed X-Budget-Ms");
+        }
+        return budget * 1000;
+    }
+
     private static String need(Http.Head head, String name) throws Http.Bad {
         String v = head.get(name);
         if (v == null) {
@@ -134,8 +144,7 @@
 
         @Override
         public void begin(Http.Output out, boolean close) {
-            out.text("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
-                    + "Transfer-Encoding: chunked\r\n" + (close ? "Connection: close\r\n\r\n" : "\r\n"));
+            Http.streamHead(out, close);
         }
 
         @Override
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -214,6 +214,11 @@
             }
         }
 
+        /** Whether the module has given the attempt up. */
+        synchronized boolean given() {
+            return aborted;
+        }
+
         /** False if the attempt has been given up: nothing may be written for it. */
         synchronized boolean bind(Socket s) {
             if (aborted) {
@@ -490,6 +495,9 @@
             if (outcome != null) {
                 return;
             }
+            if (lease.given()) {
+                return; // This side closed it: the module's word to stop is in the mailbox.
+            }
             journal.log("engine-broke", "engine", server, "begun", Boolean.toString(begun), "why", why);
             if (!begun) {
                 fail(Outcome.RESET);
@@ -598,18 +606,6 @@
             return false;
         }
 
-        /** The event's data: what stands behind its {@code data:} fields. */
-        static String data(byte[] event) {
-            StringBuilder d = new StringBuilder();
-            for (String line : new String(event, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
-                if (line.startsWith("data:")) {
-                    d.append(d.length() > 0 ? "\n" : "").append(line.substring(line.startsWith("data: ")
-                            ? 6 : 5));
-                }
-            }
-            return d.toString();
-        }
-
         /** An error told inside a stream: its name says so, or its data is an object that begins with one. */
         static boolean isError(byte[] event) {
             if (!contains(event, "error")) {
@@ -617,13 +613,13 @@
             }
             String text = new String(event, StandardCharsets.UTF_8);
             return text.startsWith("event: error") || text.contains("\nevent: error")
-                    || data(event).replace(" ", "").startsWith("{\"error\"");
+                    || Front.data(event).replace(" ", "").startsWith("{\"error\"");
         }
 
         /** An event of the engines' dialect, or a comment. */
         static boolean known(byte[] event) {
             return event.length == 0 || event[0] == ':' || contains(event, "\"choices\"")
-                    || data(event).equals("[DONE]");
+                    || Front.data(event).equals("[DONE]");
         }
 
         /** Prompt tokens found kept, where the event tells it; else -1. */
@@ -632,7 +628,7 @@
                 return -1;
             }
             try {
-                return (long) Config.facts(data(event).getBytes(StandardCharsets.UTF_8), "event")
+                return (long) Config.facts(Front.data(event).getBytes(StandardCharsets.UTF_8), "event")
                         .object("usage")
                         .object("prompt_tokens_details").number("cached_tokens", -1);
             } catch (IOException | Config.Malformed e) {
--- a/src/main/java/magpiehub/net/Front.java
+++ b/src/main/java/magpiehub/net/Front.java
@@ -1,5 +1,6 @@
 package magpiehub.net;
 
+import java.nio.charset.StandardCharsets;
 import magpiehub.core.Contract.Request;
 
 /**
@@ -73,4 +74,16 @@
         long ms = Math.max(1, (micros + 999) / 1000);
         return ms / 1000 + "." + String.format("%03d", ms % 1000);
     }
+
+    /** The event's data: what stands behind its {@code data:} fields. */
+    static String data(byte[] event) {
+        StringBuilder d = new StringBuilder();
+        for (String line : new String(event, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
+            if (line.startsWith("data:")) {
+                d.append(d.length() > 0 ? "\n" : "").append(line.substring(line.startsWith("data: ")
+                        ? 6 : 5));
+            }
+        }
+        return d.toString();
+    }
 }
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -450,6 +450,12 @@
         out.text(close ? "Connection: close\r\n\r\n" : "\r\n").bytes(body);
     }
 
+    /** The head of an answer that is a stream of events. */
+    public static void streamHead(Output out, boolean close) {
+        out.text("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
+                + "Transfer-Encoding: chunked\r\n" + (close ? "Connection: close\r\n\r\n" : "\r\n"));
+    }
+
     private static String reason(int status) {
         return switch (status) {
             case 200 -> "OK";
@@ -464,6 +470,7 @@
             case 502 -> "Bad Gateway";
             case 503 -> "Service Unavailable";
             case 504 -> "Gateway Timeout";
+            case 529 -> "Overloaded";
             default -> "Status";
         };
     }
--- /dev/null
+++ b/src/test/java/magpiehub/Player.java
@@ -0,0 +1,310 @@
+package magpiehub;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.Condition;
+import java.util.regex.Pattern;
+import magpiehub.config.Config;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+import magpiehub.front.MessagesFront;
+import magpiehub.front.PlatformFront;
+import magpiehub.net.Clients;
+import magpiehub.net.Discovery;
+import magpiehub.net.Engines;
+import magpiehub.net.Front;
+import magpiehub.ops.Log;
+
+/**
+ * Plays a recorded exchange against the program on loopback sockets: the clients, engines and discovery of a
+ * text file, with a clock that moves only when the file says so. It owns the file's form, which
+ * src/test/resources/exchanges/README.md describes. It must never wait for time to pass.
+ */
+final class Player implements AutoCloseable {
+    private static final int PATIENCE_MS = 10_000;
+
+    /** Goes forward only when told; whoever waits for it looks again every little while. */
+    static final class DrivenClock implements Mailbox.Clock {
+        final AtomicLong now = new AtomicLong(1_000_000_000_000L);
+
+        @Override
+        public long micros() {
+            return now.get();
+        }
+
+        @Override
+        public void await(Condition c, long until) throws InterruptedException {
+            c.await(1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** One party of the exchange, with the connection it speaks on now. */
+    private static final class Peer {
+        ServerSocket server;
+        Socket socket;
+        final ByteArrayOutputStream toSend = new ByteArrayOutputStream();
+        byte[] body = {};
+
+        void use(Socket s) throws IOException {
+            s.setSoTimeout(PATIENCE_MS);
+            s.setTcpNoDelay(true);
+            socket = s;
+        }
+
+        int read() throws IOException {
+            return socket.getInputStream().read();
+        }
+
+        String line() throws IOException {
+            ByteArrayOutputStream b = new ByteArrayOutputStream();
+            for (int c = read(); c != '\n'; c = read()) {
+                assertTrue("the connection ended after: " + b, c >= 0);
+                b.write(c);
+            }
+            String s = b.toString(StandardCharsets.UTF_8);
+            return s.endsWith("\r") ? s.substring(0, s.length() - 1) : s;
+        }
+
+        String bytes(int n) throws IOException {
+            byte[] b = socket.getInputStream().readNBytes(n);
+            assertEquals("the connection ended early", n, b.length);
+            return new String(b, StandardCharsets.UTF_8);
+        }
+
+        boolean ended() {
+            try {
+                return read() < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true; // A reset is an end too.
+            }
+        }
+
+        void flush() throws IOException {
+            if (toSend.size() + body.length > 0) {
+                String head = toSend.toString(StandardCharsets.UTF_8).replace("@LEN", "" + body.length);
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream().write(body);
+                toSend.reset();
+                body = new byte[0];
+            }
+        }
+    }
+
+    final DrivenClock clock = new DrivenClock();
+    final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Log log = new Log(new PrintStream(logged, true, StandardCharsets.UTF_8), "test", 1);
+    private final Map<String, Peer> peers = new LinkedHashMap<>();
+    private Clients clients;
+    private Thread module;
+    private boolean messages;
+    private int most = 64;
+    private String known = "";
+
+    /** Plays a file. */
+    static void play(Path file) throws Exception {
+        int number = 0;
+        try (Player p = new Player()) {
+            for (String line : Files.readAllLines(file)) {
+                number++;
+                try {
+                    p.step(line);
+                } catch (Exception | AssertionError e) {
+                    throw new AssertionError(file.getFileName() + ":" + number + ": " + line + "\n" + e
+                            + "\n" + p.log.counters() + p.logged, e);
+                }
+            }
+        }
+    }
+
+    /** The program's parts, wired as {@code Main} does. */
+    private void start() throws Exception {
+        Config.Site site = Config.site(Config.facts(
+                Files.readAllBytes(Path.of("src/test/resources/site.json")), "settings"));
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
+        Peer d = peers.computeIfAbsent("d", k -> new Peer());
+        d.server = new ServerSocket(0, 8, any.getAddress());
+        Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), 64,
+                clock, log);
+        Discovery discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), site, engines, clock,
+                log);
+        ModuleActor actor = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
+        engines.module(actor);
+        Front front = messages ? new MessagesFront(site, new MessagesFront.Options("", "chat", "", Map.of()))
+                : new PlatformFront(site);
+        clients = new Clients(any, front, actor, clock, log, discovery::known, log::counters, most);
+        clients.start();
+        log.start();
+        discovery.start(actor, ("{\"revision\":1,\"complete\":true,\"members\":[" + known + "]}").getBytes());
+        module = Mailbox.thread("module", actor::run);
+        module.start();
+    }
+
+    void step(String line) throws Exception {
+        if (line.isBlank() || line.startsWith("#")) {
+            return;
+        }
+        String[] w = line.split(" ", 2);
+        String rest = w.length > 1 ? w[1] : "";
+        switch (w[0]) {
+            case "front" -> messages = rest.equals("messages");
+            case "most" -> most = Integer.parseInt(rest);
+            case "engines" -> {
+                for (String name : rest.split(" ")) {
+                    Peer p = new Peer();
+                    p.server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+                    peers.put(name, p);
+                    known += (known.isEmpty() ? "" : ",") + member(name, "Ready");
+                }
+            }
+            case "start" -> start();
+            case "clock" -> clock.now.addAndGet(Long.parseLong(rest) * 1000);
+            case "counter" -> counter(rest);
+            case "closing" -> clients.announceClosing();
+            case "stop" -> clients.stopAccepting();
+            case "logged" -> await(() -> glob(".*" + quote(rest) + ".*",
+                    logged.toString(StandardCharsets.UTF_8)),
+                    "no log line has " + rest);
+            default -> {
+                int i = 0;
+                while (i < w[0].length() && Character.isLetterOrDigit(w[0].charAt(i))) {
+                    i++;
+                }
+                act(w[0].substring(0, i), w[0].substring(i), rest);
+            }
+        }
+    }
+
+    private String member(String name, String phase) {
+        return "{\"id\":\"" + name + "\",\"host_port\":\"127.0.0.1:" + peers.get(name).server.getLocalPort()
+                + "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":0,\"phase\":\"" + phase
+                + "\",\"size\":1.0,\"up_since_ms\":0}";
+    }
+
+    private void act(String name, String what, String rest) throws Exception {
+        Peer p = peers.computeIfAbsent(name, k -> new Peer());
+        if (!what.startsWith(">")) {
+            p.flush();
+        }
+        if (p.socket == null && p.server == null) {
+            p.use(new Socket("127.0.0.1", clients.port()));
+        }
+        switch (what) {
+            case "+" -> {
+                p.server.setSoTimeout(PATIENCE_MS);
+                p.use(p.server.accept());
+            }
+            case "++" -> p.use(new Socket("127.0.0.1", clients.port()));
+            case ">" -> p.toSend.write((rest + "\r\n").getBytes(StandardCharsets.UTF_8));
+            case ">>" -> {
+                p.body = unescape(rest).getBytes(StandardCharsets.UTF_8);
+                p.flush();
+            }
+            case ">*" -> { // A body of so many bytes, for the limits.
+                p.body = "x".repeat(Integer.parseInt(rest)).getBytes(StandardCharsets.UTF_8);
+                p.flush();
+            }
+            case ">~" -> {
+                byte[] event = unescape(rest).getBytes(StandardCharsets.UTF_8);
+                p.toSend.write((Integer.toHexString(event.length) + "\r\n").getBytes(StandardCharsets.UTF_8));
+                p.toSend.write(event);
+                p.toSend.write("\r\n".getBytes(StandardCharsets.UTF_8));
+                p.flush();
+            }
+            case ">." -> {
+                p.toSend.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                p.flush();
+            }
+            case "<" -> expect(rest, p.line());
+            case "<<" -> expect(rest, escape(p.bytes(rest.startsWith("@") ? 0 : unescape(rest).length())));
+            case "<~" -> {
+                String got = p.bytes(Integer.parseInt(p.line(), 16));
+                assertEquals("", p.line());
+                expect(rest, escape(got));
+            }
+            case "<." -> assertEquals("0 and an empty line", "0|", p.line() + "|" + p.line());
+            case "<eof" -> assertTrue("the connection should have ended", p.ended());
+            case "!" -> p.socket.close();
+            case "!!" -> {
+                p.socket.setSoLinger(true, 0);
+                p.socket.close();
+            }
+            default -> throw new IllegalArgumentException("no such step");
+        }
+        if (what.equals(">") && rest.isEmpty() && !p.toSend.toString().contains("@LEN")) {
+            p.flush();
+        }
+    }
+
+    private static void expect(String pattern, String got) {
+        assertTrue("got: " + got, glob(quote(pattern), got));
+    }
+
+    private static String quote(String pattern) {
+        return Pattern.quote(pattern).replace("*", "\\E.*\\Q");
+    }
+
+    private static boolean glob(String regex, String s) {
+        return Pattern.compile(regex, Pattern.DOTALL).matcher(s).matches();
+    }
+
+    private static String unescape(String s) {
+        return s.replace("\\n", "\n").replace("\\r", "\r");
+    }
+
+    private static String escape(String s) {
+        return s.replace("\r", "\\r").replace("\n", "\\n");
+    }
+
+    private void counter(String rest) throws Exception {
+        await(() -> ("\n" + log.counters()).contains("\n" + rest + "\n"), "the counter never came to "
+                + rest);
+    }
+
+    /** Waits for something that the program does by itself; the limit is for failing only. */
+    private static void await(java.util.function.BooleanSupplier what, String otherwise) throws Exception {
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (!what.getAsBoolean()) {
+            assertTrue(otherwise, System.nanoTime() < end);
+            java.util.concurrent.locks.LockSupport.parkNanos(500_000);
+        }
+    }
+
+    /** Whether a peer's socket has something to read; for the trace's outcomes. */
+    InputStream in(String name) throws IOException {
+        return peers.get(name).socket.getInputStream();
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Peer p : peers.values()) {
+            if (p.socket != null) {
+                p.socket.close();
+            }
+            if (p.server != null) {
+                p.server.close();
+            }
+        }
+        if (clients != null) {
+            clients.stopAccepting();
+            module.interrupt();
+        }
+    }
+}
