--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import magpiehub.core.Contract.ListKind;
@@ -221,6 +222,7 @@
         mailbox.post(() -> {
             fleet.list(kind, servers);
             rules.list(now, kind, servers);
+            journal.count("lists_" + kind.name().toLowerCase(Locale.ROOT));
         });
     }
 
@@ -280,7 +282,7 @@
         a.over = true;
         Open o = a.open;
         boolean settled = o.answered || o.begun == a || outcome == Outcome.OK;
-        journal.count("attempt_" + outcome.name().toLowerCase(java.util.Locale.ROOT));
+        journal.count("attempt_" + outcome.name().toLowerCase(Locale.ROOT));
         if (settled && !o.answered) {
             answer(o, outcome == Outcome.OK ? "served" : outcome == Outcome.CANCELLED ? "abandoned"
                     : "broken");
--- a/src/main/java/magpiehub/net/Discovery.java
+++ b/src/main/java/magpiehub/net/Discovery.java
@@ -237,9 +237,9 @@
         if (saved) {
             module.list(ListKind.SAVED, servers);
         } else {
+            told(complete ? ListKind.COMPLETE : ListKind.CHANGES, servers);
             journal.log("list", "revision", Long.toString(number), "complete", Boolean.toString(complete),
                     "entries", Integer.toString(servers.size()));
-            told(complete ? ListKind.COMPLETE : ListKind.CHANGES, servers);
         }
     }
 
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -282,6 +282,7 @@
             try {
                 while (true) {
                     Object m = mailbox.take(idleUntil);
+                    long now = clock.micros();
                     if (m instanceof Exit) {
                         return;
                     }
@@ -291,7 +292,7 @@
                         handle(m);
                     }
                     idleUntil = lease == null && socket != null ? idleUntil == Long.MAX_VALUE
-                            ? clock.micros() + retireAfter : idleUntil : Long.MAX_VALUE;
+                            ? now + retireAfter : idleUntil : Long.MAX_VALUE;
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -403,6 +404,7 @@
         }
 
         private byte[] request(Front.Call call, Attempt a) {
+            // Connecting may have taken a while since this turn began: the engine is told what is left now.
             long left = Math.max(1, (a.until - clock.micros()) / 1000);
             return new Http.Output().text("POST " + call.target + " HTTP/1.1\r\nHost: " + connectedTo
                     + "\r\nContent-Type: application/json\r\nContent-Length: " + call.body.length
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -5,7 +5,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -14,8 +13,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.Condition;
@@ -60,6 +62,8 @@
         Socket socket;
         final ByteArrayOutputStream toSend = new ByteArrayOutputStream();
         byte[] body = {};
+        CompletableFuture<String> begun;
+        CompletableFuture<String> outcome;
 
         void use(Socket s) throws IOException {
             s.setSoTimeout(PATIENCE_MS);
@@ -116,12 +120,18 @@
     private Thread module;
     private boolean messages;
     private int most = 64;
+    private int asked;
+    /** What each answered request came to, in the order of the file. */
+    final List<String> results = new ArrayList<>();
     private String known = "";
 
-    /** Plays a file. */
-    static void play(Path file) throws Exception {
+    /** Plays a file; returns what the requests that it asked came to. */
+    static List<String> play(Path file, String... before) throws Exception {
         int number = 0;
         try (Player p = new Player()) {
+            for (String line : before) {
+                p.step(line);
+            }
             for (String line : Files.readAllLines(file)) {
                 number++;
                 try {
@@ -131,6 +141,7 @@
                             + "\n" + p.log.counters() + p.logged, e);
                 }
             }
+            return p.results;
         }
     }
 
@@ -242,6 +253,25 @@
             case "<." -> assertEquals("0 and an empty line", "0|", p.line() + "|" + p.line());
             case "<eof" -> assertTrue("the connection should have ended", p.ended());
             case "!" -> p.socket.close();
+            case "-" -> p.server.close();
+            case "?" -> {
+                if (p.server == null) {
+                    ask(name, p, rest);
+                } else {
+                    int length = 0;
+                    for (String l = p.line(); !l.isEmpty(); l = p.line()) {
+                        length = l.startsWith("Content-Length: ") ? Integer.parseInt(l.substring(16))
+                                : length;
+                    }
+                    expect("{*\"stream\":true*}", p.bytes(length));
+                }
+            }
+            case ":" -> assertEquals("begun", rest, p.begun.get(PATIENCE_MS, TimeUnit.MILLISECONDS));
+            case "=" -> {
+                String got = p.outcome.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+                results.add(name + " " + got);
+                expect(rest, got);
+            }
             case "!!" -> {
                 p.socket.setSoLinger(true, 0);
                 p.socket.close();
@@ -253,6 +283,53 @@
         }
     }
 
+    /** A request in the front's dialect; a thread notes when its answer began, and how and when it ended. */
+    private void ask(String name, Peer p, String text) throws IOException {
+        String most = messages ? "\"max_tokens\":9," : "";
+        String body = "{\"model\":\"m\"," + most + "\"stream\":true,\"messages\":["
+                + "{\"role\":\"user\",\"content\":\"" + text + "\"}]}";
+        p.socket.getOutputStream().write(("POST /v1/" + (messages ? "messages" : "chat/completions")
+                + " HTTP/1.1\r\nX-Call-Id: " + name + asked++ + "\r\nX-Call-Class: chat\r\nX-Route-Hash: "
+                + Integer.toHexString(text.hashCode()) + "\r\nX-Budget-Ms: 4000\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+        p.begun = new CompletableFuture<>();
+        p.outcome = new CompletableFuture<>();
+        Mailbox.thread("answer", () -> {
+            try {
+                p.outcome.complete(answer(p) + " at " + at());
+            } catch (IOException | RuntimeException | AssertionError e) {
+                p.outcome.completeExceptionally(e);
+            }
+        }).start();
+    }
+
+    private String at() {
+        return Long.toString((clock.micros() - 1_000_000_000_000L) / 1000);
+    }
+
+    /** Served only with the last chunk; a head alone, or events without it, is a broken stream. */
+    private String answer(Peer p) throws IOException {
+        String status = p.line().split(" ")[1];
+        int length = 0;
+        for (String l = p.line(); !l.isEmpty(); l = p.line()) {
+            length = l.startsWith("Content-Length: ") ? Integer.parseInt(l.substring(16)) : length;
+        }
+        if (!status.equals("200")) {
+            p.bytes(length);
+            return status.equals("503") || status.equals("529") ? "refused" : "failed";
+        }
+        p.begun.complete(at());
+        try {
+            for (int n = Integer.parseInt(p.line(), 16); n > 0; n = Integer.parseInt(p.line(), 16)) {
+                p.bytes(n + 2);
+            }
+            p.line();
+            return "served";
+        } catch (IOException | AssertionError e) {
+            return "broken";
+        }
+    }
+
     private static void expect(String pattern, String got) {
         assertTrue("got: " + got, glob(quote(pattern), got));
     }
@@ -265,8 +342,15 @@
         return Pattern.compile(regex, Pattern.DOTALL).matcher(s).matches();
     }
 
-    private static String unescape(String s) {
-        return s.replace("\\n", "\n").replace("\\r", "\r");
+    /** Line ends, and the address of an engine for {@code @NAME@}. */
+    private String unescape(String s) {
+        String t = s.replace("\\n", "\n").replace("\\r", "\r");
+        for (Map.Entry<String, Peer> e : peers.entrySet()) {
+            if (e.getValue().server != null) {
+                t = t.replace("@" + e.getKey() + "@", "127.0.0.1:" + e.getValue().server.getLocalPort());
+            }
+        }
+        return t;
     }
 
     private static String escape(String s) {
@@ -287,11 +371,6 @@
         }
     }
 
-    /** Whether a peer's socket has something to read; for the trace's outcomes. */
-    InputStream in(String name) throws IOException {
-        return peers.get(name).socket.getInputStream();
-    }
-
     @Override
     public void close() throws Exception {
         for (Peer p : peers.values()) {
--- /dev/null
+++ b/src/test/java/magpiehub/ops/LogTest.java
@@ -0,0 +1,34 @@
+package magpiehub.ops;
+
+import static org.junit.Assert.assertEquals;
+
+import java.time.Instant;
+import org.junit.Test;
+
+/** Log lines against RFC 5424's grammar: what would end a value, a name or the message early is not let
+ * out. */
+public class LogTest {
+    private static final Instant AT = Instant.parse("2026-12-01T10:00:00.5Z");
+    private final Log log = new Log(System.err, "n 3", 7);
+
+    @Test
+    public void valuesAreEscapedAndNamesAreClean() {
+        assertEquals("<134>1 2026-12-01T10:00:00.500000Z n_3 magpiehub 7 li_st "
+                + "[magpiehub@32473 a_b_=\"q\\\"\\\\\\] \u00e9\" c=\"\"]\n",
+                log.line(AT, "li st", "a=b]", "q\"\\]\n\u00e9", "c", ""));
+    }
+
+    @Test
+    public void failuresAreWarningsAndNoDataIsADash() {
+        assertEquals("<132>1 2026-12-01T10:00:00.500000Z n_3 magpiehub 7 engine-error -\n",
+                log.line(AT, "engine-error"));
+    }
+
+    @Test
+    public void countersAreListedByName() {
+        log.count("taken");
+        log.count("answered_served");
+        log.count("taken");
+        assertEquals("answered_served 1\ntaken 2\n", log.counters());
+    }
+}
