Hold back fast engines, bound bodies in hand, and begin the replicated store

overflow.txt, an engine faster than its actor, first ended the engine's stream as broken (Engines.read posted into a full mailbox). The engine's reader now waits for room; a client that does not read is ended still, and counted once.

ModuleActorTest found that a fault while an attempt was handed over left no handle: the expiry and then the backstop failed on it, and the request was never answered. An attempt now begins with a handle that closes nothing, and a fault of the engines' side is a connect failure that the module may try elsewhere.

Want of threads or memory ends one peer's work in the accept loop, the pools, the list and the module.

After SIGTERM, streams that still run after 3.4 s are moved where clients resume.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -29,6 +29,8 @@
     /** After SIGTERM: how long new connections are accepted and idle ones kept (ms). */
     private static final long HAND_OVER_MS = 600;
 
+    /** After SIGTERM: when streams that still run are ended in order, where clients ask for the rest (ms). */
+    private static final long MOVE_MS = 3_400;
     /** Connections for the messages front, where it is on. */
     private static final int MESSAGES_CLIENTS = 64;
 
@@ -88,7 +90,8 @@
         List<Clients> fronts = messages == null ? List.of(clients) : List.of(clients, messages);
         discovery.start(module, r.known());
         Mailbox.thread("module", module::run).start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, log)));
+        boolean resume = r.site().settings().resume();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log)));
         WarmUp.run();
         warm.set(true);
         log.log("started", "listen", r.listen());
@@ -100,7 +103,8 @@
     }
 
     /** SIGTERM: new connections for the hand-over, then only what is held, then the counters and the end. */
-    private static void stop(List<Clients> fronts, ModuleActor module, Log log) {
+    private static void stop(List<Clients> fronts, ModuleActor module, boolean resume,
+            Log log) {
         try {
             log.log("stopping", "held", Integer.toString(module.held()));
             fronts.forEach(Clients::announceClosing);
@@ -108,8 +112,12 @@
             for (Clients c : fronts) {
                 c.stopAccepting();
             }
-            while (fronts.stream().anyMatch(c -> c.open() > 0)) {
+            for (long ms = HAND_OVER_MS; fronts.stream().anyMatch(c -> c.open() > 0); ms += 5) {
                 Thread.sleep(5);
+                if (resume && ms == MOVE_MS) {
+                    // Their clients ask for the rest elsewhere before this process is killed.
+                    module.moveAll();
+                }
             }
         } catch (IOException | InterruptedException e) {
             log.log("stop-failed", "error", e.toString());
--- a/src/main/java/magpiehub/core/Mailbox.java
+++ b/src/main/java/magpiehub/core/Mailbox.java
@@ -9,7 +9,8 @@
  * A mailbox, the clock that its owner waits by, and the thread that empties it. It owns the order in which
  * messages reach one actor: first in, first out, whoever posts. It must never drop a message and go on: what
  * does not fit into its bytes ends the peer, through {@link #post} answering false, and what is posted to a
- * closed mailbox is refused in the same way. Nothing in here blocks a poster.
+ * closed mailbox is refused in the same way. Nothing in here blocks a poster, but
+ * for the reader of the very peer that the mailbox belongs to, where it asks for that.
  */
 public final class Mailbox<M> {
     /** Whole microseconds on a clock that only goes forward. */
@@ -41,6 +42,7 @@
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition arrived = lock.newCondition();
+    private final Condition room = lock.newCondition();
     private final ArrayDeque<Entry<M>> queue = new ArrayDeque<>(4);
     private final Clock clock;
     private final long most;
@@ -69,6 +71,26 @@
         }
     }
 
+    /** For a peer's own reader: waits until there is room, so that only what that peer sends is held back. A
+     *  single message larger than the mailbox goes in alone. False once the mailbox is closed. */
+    public boolean postWhenRoom(M message, int bytes) throws InterruptedException {
+        lock.lock();
+        try {
+            while (!closed && held > 0 && held + bytes > most) {
+                room.await();
+            }
+            if (closed) {
+                return false;
+            }
+            held += bytes;
+            queue.add(new Entry<>(message, bytes));
+            arrived.signal();
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** A word that ends something: small, bounded in number by what it ends, and taken whatever is queued. */
     public boolean post(M message) {
         return post(message, 0);
@@ -103,6 +125,7 @@
             return null;
         }
         held -= e.bytes;
+        room.signalAll();
         return e.message;
     }
 
@@ -111,6 +134,7 @@
         lock.lock();
         try {
             closed = true;
+            room.signalAll();
         } finally {
             lock.unlock();
         }
--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -42,6 +42,17 @@
         void abort();
     }
 
+    /** Before an attempt is handed over, and where that failed: there is nothing to close. */
+    private static final Handle NOTHING = new Handle() {
+        @Override
+        public void grant() {
+        }
+
+        @Override
+        public void abort() {
+        }
+    };
+
     /** The engines. Called from the module's thread only; must not block it. */
     public interface Fleet {
         Handle start(Attempt attempt);
@@ -78,7 +89,7 @@
         private final Open open;
         private final int number;
         private final long sentAt;
-        private Handle handle;
+        private Handle handle = NOTHING;
         private boolean over;
 
         private Attempt(Open open, int number, String server, long sentAt, long until) {
@@ -175,7 +186,7 @@
     private void guarded(Runnable r) {
         try {
             r.run();
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
             journal.count("module_exceptions");
             journal.log("module-exception", "error", e.toString(),
                     "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0].toString() : "?");
@@ -340,7 +351,14 @@
             o.attempts.add(a);
             journal.count("sent");
             at(until, () -> expire(a));
-            a.handle = fleet.start(a);
+            try {
+                a.handle = fleet.start(a);
+            } catch (RuntimeException | OutOfMemoryError e) {
+                // A fault of the engines' side is an attempt that never ran, not the end of the request.
+                journal.count("module_exceptions");
+                journal.log("module-exception", "error", e.toString(), "engine", server);
+                ended(a, Outcome.CONNECT_FAILED, -1);
+            }
         }
 
         private void expire(Attempt a) {
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -9,6 +9,8 @@
 import java.util.ArrayDeque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import magpiehub.core.Mailbox;
@@ -31,6 +33,8 @@
     /** How long a begun request may take to come in (ms). */
     private static final int REQUEST_TIMEOUT_MS = 20_000;
     private static final int MOST_DISCARDED = 1 << 20;
+    /** Bodies in hand at most, for all clients: the heap holds each up to three times while it is read. */
+    private static final long MOST_IN_HAND = 12L << 20;
     /** What a client that comes while there is no room is told to wait (us). */
     private static final long SHED_PAUSE = 500_000;
 
@@ -43,6 +47,8 @@
     private final int most;
     private final ServerSocket server = new ServerSocket();
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+    /** Bytes of request bodies read or being read, and not yet answered or begun. */
+    private final AtomicLong inHand = new AtomicLong();
     private volatile boolean closing;
 
     /** A listener that is bound but accepts nothing until {@link #start}. */
@@ -70,17 +76,16 @@
 
     private void accept() {
         while (!server.isClosed()) {
+            Socket s = null;
             try {
-                Socket s = server.accept();
+                s = server.accept();
                 s.setTcpNoDelay(true);
                 // Past the budget a client still gets an answer: a few descriptors are kept for saying no.
                 boolean room = open.size() < most;
                 if (!room) {
                     journal.count("clients_shed");
                 }
-                Connection c = new Connection(s, !room);
-                open.add(c);
-                c.start();
+                new Connection(s, !room).start();
                 while (open.size() >= most + most / 16 + 4 && !server.isClosed()) {
                     synchronized (open) {
                         open.wait(50);
@@ -91,7 +96,9 @@
                     // Out of descriptors or threads: what is open goes on, and the next one is tried.
                     journal.count("accept_failures");
                     journal.log("accept-failure", "error", e.toString());
-                    Thread.onSpinWait();
+                    if (s != null) {
+                        closeQuietly(s);
+                    }
                 }
             } catch (InterruptedException e) {
                 return;
@@ -117,7 +124,7 @@
         return open.size();
     }
 
-    private record Arrived(Http.Head head, byte[] body, long at) {
+    private record Arrived(Http.Head head, byte[] body, long at, int room) {
     }
 
     private record Malformed(int status, String why) {
@@ -194,9 +201,12 @@
         private final Http.Output out = new Http.Output();
         private final ArrayDeque<Arrived> ahead = new ArrayDeque<>(2);
         private Exchange current;
+        /** What the request in hand has reserved of {@link #inHand}. */
+        private int room;
         /** The last answer is written: only the client's own end is waited for. */
         private boolean lingering;
         private boolean ended;
+        private final AtomicBoolean full = new AtomicBoolean();
         /** The client has asked for the connection to end with this answer. */
         private boolean lastAnswer;
 
@@ -206,13 +216,31 @@
         }
 
         void start() {
-            Mailbox.thread("client-reader", this::read).start();
-            Mailbox.thread("client", this::run).start();
+            open.add(this);
+            try {
+                Mailbox.thread("client", this::run).start();
+            } catch (OutOfMemoryError e) {
+                open.remove(this);
+                throw e;
+            }
+            try {
+                Mailbox.thread("client-reader", this::read).start();
+            } catch (OutOfMemoryError e) {
+                mailbox.post(new Left());
+                throw e;
+            }
         }
 
         /** What does not fit ends this client: it does not read, and no event may be left out. */
         void post(Object message, int bytes) {
             if (!mailbox.post(message, bytes)) {
+                overflowed();
+            }
+        }
+
+        /** Counted once; what is posted to a connection that has ended by itself is no overflow. */
+        private void overflowed() {
+            if (!socket.isClosed() && full.compareAndSet(false, true)) {
                 journal.count("client_overflows");
                 closeQuietly(socket);
                 mailbox.post(new Left());
@@ -226,9 +254,26 @@
                 while (in.await()) {
                     socket.setSoTimeout(REQUEST_TIMEOUT_MS);
                     Http.Head head = in.head(true);
-                    byte[] body = in.body(head);
-                    socket.setSoTimeout(0);
-                    post(new Arrived(head, body, in.firstAt()), body.length);
+                    int room = Http.Input.announced(head);
+                    if (inHand.addAndGet(room) > MOST_IN_HAND) {
+                        inHand.addAndGet(-room);
+                        journal.count("requests_shed");
+                        throw new Http.Bad(503, "no room");
+                    }
+                    boolean posted = false;
+                    try {
+                        byte[] body = in.body(head);
+                        socket.setSoTimeout(0);
+                        posted = mailbox.post(new Arrived(head, body, in.firstAt(), room), body.length);
+                    } finally {
+                        if (!posted) {
+                            inHand.addAndGet(-room);
+                        }
+                    }
+                    if (!posted) {
+                        overflowed();
+                        return;
+                    }
                 }
             } catch (Http.Bad e) {
                 post(new Malformed(e.status, e.getMessage()), 0);
@@ -290,8 +335,13 @@
                 journal.log("client-exception", "error", e.toString());
                 lastWords();
             } finally {
-                mailbox.close();
                 closeQuietly(socket);
+                mailbox.close();
+                inHand.addAndGet(-room);
+                ahead.forEach(a -> inHand.addAndGet(-a.room));
+                for (Object m = mailbox.poll(); m != null; m = mailbox.poll()) {
+                    inHand.addAndGet(m instanceof Arrived a ? -a.room : 0);
+                }
                 if (current != null) {
                     module.gone(current.call.request.id());
                 }
@@ -327,6 +377,7 @@
                     ahead.add(a);
                 } else {
                     ended = true;
+                    inHand.addAndGet(-a.room);
                 }
             } else if (m instanceof Event e) {
                 if (e.exchange == current) {
@@ -368,7 +419,7 @@
             } else if (m instanceof Malformed b) {
                 journal.count("malformed_requests");
                 if (current == null && !lingering) {
-                    front.error(out, b.status, b.why, 0, true);
+                    front.error(out, b.status, b.why, b.status == 503 ? SHED_PAUSE : 0, true);
                     lingering = true;
                 } else if (current != null && current.begun) {
                     ended = true;
@@ -385,6 +436,8 @@
 
         private void over(boolean close) {
             current = null;
+            inHand.addAndGet(-room);
+            room = 0;
             if (close) {
                 lingering = true;
             } else if (!ahead.isEmpty()) {
@@ -393,6 +446,7 @@
         }
 
         private void begin(Arrived a) {
+            room = a.room;
             lastAnswer |= a.head.closes();
             boolean close = last();
             String path = a.head.start[1];
--- a/src/main/java/magpiehub/net/Discovery.java
+++ b/src/main/java/magpiehub/net/Discovery.java
@@ -117,33 +117,43 @@
     private void run() {
         try {
             while (true) {
-                long until = Math.min(watch == null ? Long.MAX_VALUE : watch.until,
-                        fetch == null ? Long.MAX_VALUE : fetch.until);
-                Object m = mailbox.take(until);
-                long now = clock.micros();
-                if (m instanceof Ask a) {
-                    ask(a.watch, now);
-                } else if (m instanceof Unwatch) {
-                    Call c = watch;
-                    watch = null;
-                    close(c);
-                } else if (m instanceof Line l && (l.from == watch || l.from == fetch)) {
-                    line(l, now);
-                } else if (m instanceof Ended e && (e.from == watch || e.from == fetch)) {
-                    ended(e.from, e.why);
-                } else if (m == null) {
-                    for (Call c : new Call[] {watch, fetch}) {
-                        if (c != null && c.until <= now) {
-                            ended(c, "silent");
-                        }
-                    }
-                }
+                turn();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void turn() throws InterruptedException {
+        try {
+            long until = Math.min(watch == null ? Long.MAX_VALUE : watch.until,
+                    fetch == null ? Long.MAX_VALUE : fetch.until);
+            Object m = mailbox.take(until);
+            long now = clock.micros();
+            if (m instanceof Ask a) {
+                ask(a.watch, now);
+            } else if (m instanceof Unwatch) {
+                Call c = watch;
+                watch = null;
+                close(c);
+            } else if (m instanceof Line l && (l.from == watch || l.from == fetch)) {
+                line(l, now);
+            } else if (m instanceof Ended e && (e.from == watch || e.from == fetch)) {
+                ended(e.from, e.why);
+            } else if (m == null) {
+                for (Call c : new Call[] {watch, fetch}) {
+                    if (c != null && c.until <= now) {
+                        ended(c, "silent");
+                    }
+                }
+            }
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // Ends what was being done; a call that came to nothing by it ends as silent.
+            journal.count("discovery_exceptions");
+            journal.log("discovery-exception", "error", e.toString());
+        }
+    }
+
     private void ask(boolean forWatch, long now) {
         // One of a kind at a time: a second watch would be another call in discovery's queue.
         close(forWatch ? watch : fetch);
@@ -309,7 +319,7 @@
                     why = "status " + h.status();
                 }
             }
-        } catch (IOException | RuntimeException | OutOfMemoryError e) {
+        } catch (IOException | InterruptedException | RuntimeException | OutOfMemoryError e) {
             why = e.toString();
         }
         mailbox.post(new Ended(c, why));
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -85,9 +85,16 @@
                 module.ended(attempt, Outcome.FULL, -1);
                 return lease;
             }
-            connections++;
             c = new Connection(attempt.server);
-            Mailbox.thread("engine", c::run).start();
+            try {
+                Mailbox.thread("engine", c::run).start();
+            } catch (OutOfMemoryError e) {
+                // No thread is to be had: as good as no connection, and what is open goes on.
+                journal.count("engine_connections_short");
+                module.ended(attempt, Outcome.FULL, -1);
+                return lease;
+            }
+            connections++;
         }
         c.leased = true;
         lease.connection = c;
@@ -298,6 +305,7 @@
                 Thread.currentThread().interrupt();
             } finally {
                 drop();
+                mailbox.close();
             }
         }
 
@@ -322,7 +330,7 @@
                 } else if (m instanceof Broken b && b.from == socket) {
                     broke(b.why);
                 }
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | OutOfMemoryError e) {
                 // Ends this attempt's work, answers given: the module hears of a reset.
                 journal.count("engine_exceptions");
                 journal.log("engine-exception", "engine", server, "error", e.toString());
@@ -571,8 +579,10 @@
                     }
                     if (h.status() == 200) {
                         in.events(h, e -> {
-                            if (!mailbox.post(new Event(s, e), e.length)) {
-                                throw new IOException("mailbox full");
+                            // An engine that is faster than its actor waits; nothing of an answer is lost
+                            // by it.
+                            if (!mailbox.postWhenRoom(new Event(s, e), e.length)) {
+                                throw new IOException("ended");
                             }
                         });
                         mailbox.post(new End(s, !h.closes()));
@@ -582,7 +592,7 @@
                                 !h.closes()));
                     }
                 }
-            } catch (IOException | RuntimeException | OutOfMemoryError e) {
+            } catch (IOException | InterruptedException | RuntimeException | OutOfMemoryError e) {
                 why = e.toString();
             }
             mailbox.post(new Broken(s, why));
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -87,7 +87,7 @@
 
     /** What is read piece by piece: called for each event of a stream as soon as its last byte is here. */
     public interface Events {
-        void event(byte[] event) throws IOException;
+        void event(byte[] event) throws IOException, InterruptedException;
     }
 
     /** The reading side of one connection: one buffer, growing as needed, compacted in place. */
@@ -243,6 +243,12 @@
             return Integer.parseInt(length);
         }
 
+        /** Room that a message's body may take: what its head says, or the most where it does not say. */
+        static int announced(Head h) throws Bad {
+            int length = framing(h);
+            return length < 0 ? MOST_BODY : length;
+        }
+
         /** The whole body of a message. */
         public byte[] body(Head h) throws IOException {
             int length = framing(h);
@@ -300,7 +306,7 @@
         }
 
         /** The events of a streamed body, each up to and with its blank line, until the body's last chunk. */
-        public void events(Head h, Events to) throws IOException {
+        public void events(Head h, Events to) throws IOException, InterruptedException {
             int length = framing(h);
             if (length == 0) {
                 throw new Bad(502, "stream without framing");
@@ -334,7 +340,7 @@
         }
 
         /** One line of a streamed chunked body after another, until the last chunk. */
-        public void lines(Head h, Events to) throws IOException {
+        public void lines(Head h, Events to) throws IOException, InterruptedException {
             if (framing(h) >= 0) {
                 to.event(body(h));
                 return;
--- /dev/null
+++ b/src/main/java/magpiehub/store/ReplicatedStore.java
@@ -0,0 +1,258 @@
+package magpiehub.store;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import magpiehub.config.Config;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+
+/**
+ * A replica of the store in memory: a map whose every entry has a stamp, a count and the name of the replica
+ * that wrote it. Of two writes the one with the higher stamp stays, wherever and in whatever order they
+ * arrive, so replicas that have heard the same writes hold the same map. Each replica dials each other one
+ * and tells it everything, then each change; a link that broke is dialled again and told everything again.
+ * It owns the stamps. It must never take a write back, or let a peer that does not read hold up another. It
+ * writes nothing to disk: what it holds lives as long as one replica does. It promises no order between keys
+ * and no agreement: of two writes at once, one is lost everywhere.
+ */
+public final class ReplicatedStore implements Store {
+    private static final long REDIAL = 500_000;
+    private static final int CONNECT_TIMEOUT_MS = 1000;
+    private static final int MAILBOX_BYTES = 4 << 20;
+    private static final int MOST_LINE = 256 * 1024;
+
+    /** A written value, null once removed: a removal is kept, or an older write would bring the key back. */
+    private record Entry(String value, long count, String by) {
+        boolean after(Entry other) {
+            return other == null || count > other.count || count == other.count && by.compareTo(other.by) > 0;
+        }
+    }
+
+    /** A line for one peer; its thread alone writes to its socket. */
+    private final class Link {
+        final String peer;
+        /** Closed while there is no link: the next one begins with everything. */
+        private volatile Mailbox<byte[]> lines = new Mailbox<>(clock, 0);
+        private volatile Socket socket;
+
+        Link(String peer) {
+            this.peer = peer;
+        }
+
+        void run() {
+            while (!closed) {
+                try (Socket s = new Socket()) {
+                    socket = s;
+                    int colon = peer.lastIndexOf(':');
+                    s.setTcpNoDelay(true);
+                    s.connect(new InetSocketAddress(peer.substring(0, colon),
+                            Integer.parseInt(peer.substring(colon + 1))), CONNECT_TIMEOUT_MS);
+                    // A new mailbox before the map is read: a change from now on is in one or the other.
+                    Mailbox<byte[]> fresh = new Mailbox<>(clock, MAILBOX_BYTES);
+                    lines = fresh;
+                    for (Map.Entry<String, Entry> e : map.entrySet()) {
+                        s.getOutputStream().write(line(e.getKey(), e.getValue()));
+                    }
+                    Mailbox.thread("store-watch", () -> watchEnd(s, fresh)).start();
+                    journal.count("store_links");
+                    byte[] l = fresh.take(Long.MAX_VALUE);
+                    for (; l.length > 0; l = fresh.take(Long.MAX_VALUE)) {
+                        s.getOutputStream().write(l);
+                    }
+                } catch (IOException | OutOfMemoryError e) {
+                    journal.count("store_link_failures");
+                } catch (InterruptedException e) {
+                    return;
+                }
+                try {
+                    new Mailbox<byte[]>(clock, 0).take(clock.micros() + REDIAL);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
+
+        /** Nothing is ever read from a peer on this link but its end, which the writer would not notice. */
+        private void watchEnd(Socket s, Mailbox<byte[]> of) {
+            try {
+                s.getInputStream().read();
+            } catch (IOException e) {
+                // The end, either way.
+            }
+            of.post(new byte[0]);
+            of.close();
+            end(s);
+        }
+
+        void tell(byte[] line) {
+            Mailbox<byte[]> to = lines;
+            if (!to.post(line, line.length) && socket != null) {
+                end(socket); // The peer does not read: it is told everything on the next link.
+            }
+        }
+    }
+
+    private final String name;
+    private final Mailbox.Clock clock;
+    private final ModuleActor.Journal journal;
+    private final ServerSocket server = new ServerSocket();
+    private final Map<String, Entry> map = new ConcurrentSkipListMap<>();
+    private final List<Link> links = new ArrayList<>();
+    private final java.util.Set<Socket> accepted = ConcurrentHashMap.newKeySet();
+    private long count;
+    private volatile boolean closed;
+
+    /** A replica of a name of its own that listens at an address and knows its peers' addresses. */
+    public ReplicatedStore(String name, InetSocketAddress listen, Mailbox.Clock clock,
+            ModuleActor.Journal journal) throws IOException {
+        this.name = name;
+        this.clock = clock;
+        this.journal = journal;
+        server.setReuseAddress(true);
+        server.bind(listen);
+        Mailbox.thread("store-accept", this::accept).start();
+    }
+
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    /** Starts telling a peer. */
+    public void join(String peer) {
+        Link l = new Link(Config.address(peer));
+        synchronized (this) {
+            links.add(l);
+        }
+        Mailbox.thread("store-link", l::run).start();
+    }
+
+    @Override
+    public String get(String key) {
+        Entry e = map.get(key);
+        return e == null ? null : e.value;
+    }
+
+    @Override
+    public Map<String, String> under(String beginning) {
+        Map<String, String> r = new java.util.TreeMap<>();
+        map.forEach((k, e) -> {
+            if (k.startsWith(beginning) && e.value != null) {
+                r.put(k, e.value);
+            }
+        });
+        return r;
+    }
+
+    @Override
+    public synchronized void put(String key, String value) {
+        merge(key, new Entry(value, count + 1, name));
+    }
+
+    /** Takes a write over if it is the newer one, and tells it on: links may be missing between others. */
+    private synchronized void merge(String key, Entry e) {
+        count = Math.max(count, e.count);
+        if (e.after(map.get(key))) {
+            map.put(key, e);
+            byte[] line = line(key, e);
+            links.forEach(l -> l.tell(line));
+        }
+    }
+
+    private static byte[] line(String key, Entry e) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator g = Config.JSON.createGenerator(out)) {
+            g.writeStartObject();
+            g.writeStringField("key", key);
+            if (e.value != null) {
+                g.writeStringField("value", e.value);
+            }
+            g.writeStringField("count", Long.toString(e.count));
+            g.writeStringField("by", e.by);
+            g.writeEndObject();
+        } catch (IOException x) {
+            throw new IllegalStateException(x);
+        }
+        out.write('\n');
+        return out.toByteArray();
+    }
+
+    private void accept() {
+        while (!closed) {
+            try {
+                Socket s = server.accept();
+                accepted.add(s);
+                Mailbox.thread("store-reader", () -> read(s)).start();
+            } catch (IOException | OutOfMemoryError e) {
+                journal.count("store_link_failures");
+            }
+        }
+    }
+
+    private void read(Socket s) {
+        try (s) {
+            InputStream in = new BufferedInputStream(s.getInputStream(), 4096);
+            ByteArrayOutputStream line = new ByteArrayOutputStream();
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                if (b != '\n') {
+                    line.write(b);
+                    if (line.size() > MOST_LINE) {
+                        throw new IOException("line too long");
+                    }
+                    continue;
+                }
+                Config.Facts f = Config.facts(line.toByteArray(), "store");
+                line.reset();
+                String key = f.text("key", null);
+                String by = f.text("by", null);
+                if (key == null || by == null) {
+                    throw new IOException("malformed line");
+                }
+                merge(key, new Entry(f.text("value", null), Long.parseLong(f.text("count", "")), by));
+            }
+        } catch (IOException | RuntimeException | OutOfMemoryError e) {
+            journal.count("store_link_failures");
+        } finally {
+            accepted.remove(s);
+        }
+    }
+
+    private static void end(Socket s) {
+        try {
+            s.close();
+        } catch (IOException e) {
+            // Closed is closed.
+        }
+    }
+
+    /** Ends this replica; the others keep what it wrote. */
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            server.close();
+        } catch (IOException e) {
+            // Closed is closed.
+        }
+        accepted.forEach(ReplicatedStore::end);
+        synchronized (this) {
+            for (Link l : links) {
+                l.lines.post(new byte[0]);
+                l.lines.close();
+                if (l.socket != null) {
+                    end(l.socket);
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -232,6 +232,18 @@
                 p.body = "x".repeat(Integer.parseInt(rest)).getBytes(StandardCharsets.UTF_8);
                 p.flush();
             }
+            // Events of so many bytes in all, to a party that may end the connection meanwhile.
+            case ">x" -> {
+                byte[] event = ("8000\r\n" + "x".repeat(0x7ffe)
+                        + "\n\n\r\n").getBytes(StandardCharsets.UTF_8);
+                try {
+                    for (int sent = 0; sent < Integer.parseInt(rest); sent += event.length) {
+                        p.socket.getOutputStream().write(event);
+                    }
+                } catch (IOException e) {
+                    // Ended: what the next steps look at.
+                }
+            }
             case ">~" -> {
                 byte[] event = unescape(rest).getBytes(StandardCharsets.UTF_8);
                 p.toSend.write((Integer.toHexString(event.length) + "\r\n").getBytes(StandardCharsets.UTF_8));
--- /dev/null
+++ b/src/test/java/magpiehub/core/ModuleActorTest.java
@@ -0,0 +1,162 @@
+package magpiehub.core;
+
+import static org.junit.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Outcome;
+import magpiehub.core.Contract.Request;
+import magpiehub.core.Contract.Server;
+import org.junit.Test;
+
+/** The module's actor over ports that note the order of what it does, on a clock of the test's own. */
+public class ModuleActorTest {
+    private final List<String> done = new ArrayList<>();
+    private final List<ModuleActor.Attempt> attempts = new ArrayList<>();
+    private boolean fleetFails;
+    private boolean moduleFails;
+    private long now = 1_000_000;
+    private final ModuleActor.Client client = new ModuleActor.Client() {
+        @Override
+        public void refuse(long retryAfter) {
+            done.add("refuse at " + now);
+        }
+
+        @Override
+        public void fail(String why) {
+            done.add("fail at " + now);
+        }
+
+        @Override
+        public void move() {
+            done.add("move");
+        }
+    };
+    private final ModuleActor.Fleet fleet = new ModuleActor.Fleet() {
+        @Override
+        public ModuleActor.Handle start(ModuleActor.Attempt a) {
+            if (fleetFails) {
+                throw new IllegalStateException("made to fail");
+            }
+            attempts.add(a);
+            done.add("start " + a.server);
+            return new ModuleActor.Handle() {
+                @Override
+                public void grant() {
+                    done.add("grant " + a.server);
+                }
+
+                @Override
+                public void abort() {
+                    done.add("abort " + a.server);
+                }
+            };
+        }
+
+        @Override
+        public void probe(String server) {
+        }
+
+        @Override
+        public void closeIdle(String server) {
+        }
+
+        @Override
+        public void list(ListKind kind, List<Server> servers) {
+        }
+    };
+    private final ModuleActor.Roster roster = new ModuleActor.Roster() {
+        @Override
+        public void watch() {
+        }
+
+        @Override
+        public void unwatch() {
+        }
+
+        @Override
+        public void fetch() {
+        }
+    };
+    private final ModuleActor.Journal journal = new ModuleActor.Journal() {
+        @Override
+        public void count(String name) {
+            if (name.equals("sent") && moduleFails) {
+                throw new IllegalStateException("made to fail inside the module's turn");
+            }
+        }
+
+        @Override
+        public void log(String what, String... namesAndValues) {
+        }
+    };
+    private final ModuleActor actor = new ModuleActor(Bench.settings(1), 7, () -> now, fleet, roster,
+            journal);
+
+    private void turns() throws InterruptedException {
+        for (int i = 0; i < 8; i++) {
+            actor.turn(now);
+        }
+    }
+
+    private void ask(String... servers) throws InterruptedException {
+        actor.list(ListKind.SAVED, java.util.Arrays.stream(servers).map(Bench::server).toList());
+        actor.take(new Request("r", 0, 0, 7, 0, now + 400_000, 0, 10, 0, 10, false, false, false), client,
+                "work", 4);
+        turns();
+    }
+
+    @Test
+    public void aFaultOfOursIsAnsweredByTheBackstopInsideTheSlack() throws InterruptedException {
+        moduleFails = true;
+        ask("a");
+        now += 400_000;
+        turns();
+        assertEquals(List.of(), done);
+        now += 4_000;
+        turns();
+        assertEquals(List.of("fail at 1404000"), done);
+    }
+
+    @Test
+    public void aFaultOfTheEnginesSideIsAnAttemptThatNeverRan() throws InterruptedException {
+        fleetFails = true;
+        ask("a");
+        assertEquals(List.of("refuse at 1000000"), done);
+    }
+
+    @Test
+    public void atTheDeadlineTheOldSocketIsClosedBeforeTheAnswer() throws InterruptedException {
+        ask("a", "b");
+        now += 400_000;
+        turns();
+        String first = attempts.get(0).server;
+        assertEquals(List.of("start " + first, "abort " + first, "refuse at 1400000"), done);
+        assertEquals("the body is let go", null, attempts.get(0).work());
+    }
+
+    @Test
+    public void whatComesTooLateChangesNothing() throws InterruptedException {
+        ask("a");
+        now += 400_000;
+        turns();
+        actor.begun(attempts.get(0));
+        actor.ended(attempts.get(0), Outcome.OK, 5);
+        actor.gone("r");
+        turns();
+        assertEquals(List.of("start a", "abort a", "refuse at 1400000"), done);
+    }
+
+    @Test
+    public void aBegunStreamHasNoDeadlineAndAMoveEndsIt() throws InterruptedException {
+        ask("a");
+        actor.begun(attempts.get(0));
+        turns();
+        now += 60_000_000;
+        turns();
+        actor.moveAll();
+        turns();
+        assertEquals(List.of("start a", "grant a", "abort a", "move"), done);
+    }
+}
