Warm the sockets' code, wire the store, and tell bad configuration in one line

/up now waits for the HTTP and front code to be compiled as well as the module's.

The store is used: a router keeps its phase there, and the messages front asks it for a model's class. Off unless deploy/store.json is there.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -1,7 +1,6 @@
 package magpiehub;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -18,6 +17,8 @@
 import magpiehub.ops.Log;
 import magpiehub.sim.Drill;
 import magpiehub.sim.WarmUp;
+import magpiehub.store.ReplicatedStore;
+import magpiehub.store.Store;
 
 /**
  * The command line and the wiring: {@code serve} runs one router, {@code adapter} speaks the simulator's wire
@@ -45,8 +46,9 @@
         } else if (args.length == 1 && args[0].equals("serve")) {
             try {
                 serve(Config.router(System.getenv()));
-            } catch (IOException | Config.Malformed e) {
-                System.err.println("magpiehub: " + e.getMessage());
+            } catch (IOException | RuntimeException e) {
+                // One line for whoever starts it: what is wrong, or at least what failed.
+                System.err.println("magpiehub: " + (e instanceof Config.Malformed ? e.getMessage() : e));
                 System.exit(1);
             }
         } else {
@@ -55,12 +57,6 @@
         }
     }
 
-    private static InetSocketAddress socketAddress(String hostPort) {
-        int colon = hostPort.lastIndexOf(':');
-        return new InetSocketAddress(hostPort.substring(0, colon),
-                Integer.parseInt(hostPort.substring(colon + 1)));
-    }
-
     private static void serve(Config.Router r) throws IOException {
         Log log = new Log(System.err, r.name(), ProcessHandle.current().pid());
         log.start();
@@ -75,14 +71,17 @@
         Supplier<String> counters = log::counters;
         AtomicBoolean warm = new AtomicBoolean();
         BooleanSupplier ready = () -> warm.get() && discovery.known();
-        Clients clients = new Clients(socketAddress(r.listen()), new PlatformFront(r.site()), module,
+        PlatformFront platform = new PlatformFront(r.site());
+        Clients clients = new Clients(Config.socketAddress(r.listen()), platform, module,
                 clock, log,
                 ready, counters, share * 15 / 16 - 4);
         clients.start();
-        // Off unless a file of the deployment's gives its address; the platform has none.
+        // The next two are off unless a file of the deployment's gives their address; the platform has none.
         MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
-        Clients messages = options == null ? null : new Clients(socketAddress(options.listen()),
-                new MessagesFront(r.site(), options), module, clock, log, ready, counters, MESSAGES_CLIENTS);
+        Store store = ReplicatedStore.read(Path.of("deploy/store.json"), r.name(), clock, log);
+        Clients messages = options == null ? null : new Clients(Config.socketAddress(options.listen()),
+                new MessagesFront(r.site(), options, store), module, clock, log, ready, counters,
+                        MESSAGES_CLIENTS);
         if (messages != null) {
             messages.start();
             log.log("messages-front", "listen", options.listen());
@@ -91,10 +90,15 @@
         discovery.start(module, r.known());
         Mailbox.thread("module", module::run).start();
         boolean resume = r.site().settings().resume();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log, store,
+                r.name())));
         WarmUp.run();
+        platform.warm();
         warm.set(true);
         log.log("started", "listen", r.listen());
+        if (store != null) {
+            store.put("router/" + r.name(), "serving " + r.listen());
+        }
         try {
             Thread.currentThread().join();
         } catch (InterruptedException e) {
@@ -104,10 +108,13 @@
 
     /** SIGTERM: new connections for the hand-over, then only what is held, then the counters and the end. */
     private static void stop(List<Clients> fronts, ModuleActor module, boolean resume,
-            Log log) {
+            Log log, Store store, String name) {
         try {
             log.log("stopping", "held", Integer.toString(module.held()));
             fronts.forEach(Clients::announceClosing);
+            if (store != null) {
+                store.put("router/" + name, "stopping");
+            }
             Thread.sleep(HAND_OVER_MS);
             for (Clients c : fronts) {
                 c.stopAccepting();
--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -314,10 +315,13 @@
         if (file == null) {
             throw new Malformed("ROUTER_CONFIG is not set");
         }
+        if (!Files.isReadable(Path.of(file))) {
+            throw new Malformed("ROUTER_CONFIG names no readable file: " + file);
+        }
         Facts f = facts(Files.readAllBytes(Path.of(file)), "config");
         Facts limits = f.object("limits");
-        if (f.object("settings").map().isEmpty()) {
-            throw new Malformed("config.settings is missing");
+        if (f.object("settings").objects("classes").isEmpty()) {
+            throw new Malformed("config.settings.classes is missing");
         }
         Object known = f.map().get("known");
         return new Router(said(env, "ROUTER_NAME", f.text("name", null)),
@@ -396,6 +400,13 @@
         throw new Malformed("is no address:port: " + s);
     }
 
+    /** What an {@link #address} names. */
+    public static InetSocketAddress socketAddress(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        return new InetSocketAddress(hostPort.substring(0, colon),
+                Integer.parseInt(hostPort.substring(colon + 1)));
+    }
+
     private static long seed(Object v) {
         if (v instanceof Double d) {
             return Double.doubleToLongBits(d);
--- a/src/main/java/magpiehub/front/MessagesFront.java
+++ b/src/main/java/magpiehub/front/MessagesFront.java
@@ -13,6 +13,7 @@
 import magpiehub.core.Contract.Request;
 import magpiehub.net.Front;
 import magpiehub.net.Http;
+import magpiehub.store.Store;
 
 /**
  * The messages API's form: {@code POST /v1/messages}, answered with {@code message_start},
@@ -47,22 +48,19 @@
 
     private final Config.Site site;
     private final Options options;
+    /** Null where the store is off. */
+    private final Store store;
 
-    public MessagesFront(Config.Site site, Options options) {
+    public MessagesFront(Config.Site site, Options options, Store store) {
         this.site = site;
         this.options = options;
+        this.store = store;
     }
 
     // ---- Requests -------------------------------------------------------------------------------------
     @Override
     public Call read(Http.Head head, byte[] body, long at) throws Http.Bad {
-        String target = head.start[1];
-        if (!target.equals(PATH) && !target.startsWith(PATH + "?")) {
-            throw new Http.Bad(404, "no such path");
-        }
-        if (!head.start[0].equals("POST")) {
-            throw new Http.Bad(405, "POST only");
-        }
+        PlatformFront.posted(head, PATH);
         try {
             return translated(head, Config.facts(body, "request"), at);
         } catch (Config.Malformed e) {
@@ -117,7 +115,7 @@
             throw new Http.Bad(413, "body too large");
         }
         String cls = head.get("X-Call-Class");
-        int c = site.cls(cls != null ? cls : options.models.get(model) instanceof String s ? s : options.cls);
+        int c = site.cls(cls != null ? cls : classOf(model));
         String tenant = head.get("X-Caller");
         String id = head.get("X-Call-Id");
         String route = head.get("X-Route-Hash");
@@ -134,6 +132,12 @@
         return new Translated(r, body, model, f.flag("stream", false));
     }
 
+    /** The class of a model's requests: what the store says, else the file, else the file's own default. */
+    private String classOf(String model) {
+        String stored = store == null ? null : store.get("messages/model/" + model);
+        return stored != null ? stored : options.models.get(model) instanceof String s ? s : options.cls;
+    }
+
     /** A text, or the texts of a list of blocks; other blocks are not what these engines take. */
     private static String text(Facts f, String key) throws Http.Bad {
         Object v = f.map().get(key);
@@ -171,12 +175,7 @@
     public void error(Http.Output out, int status, String why, long retryAfter, boolean close) {
         // The dialect has a status of its own for 'overloaded'.
         int said = status == 503 ? 529 : status;
-        byte[] body = (error(said, why) + "\n").getBytes(StandardCharsets.UTF_8);
-        if (retryAfter > 0) {
-            Http.answer(out, said, "application/json", body, close, "Retry-After", Front.seconds(retryAfter));
-        } else {
-            Http.answer(out, said, "application/json", body, close);
-        }
+        Http.error(out, said, error(said, why) + "\n", retryAfter, close);
     }
 
     private static String error(int status, String why) {
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import magpiehub.config.Config;
@@ -16,6 +17,7 @@
  */
 public final class PlatformFront implements Front {
     static final String PATH = "/v1/chat/completions";
+    private static final int WARM_ROUNDS = 300;
     private final Config.Site site;
 
     public PlatformFront(Config.Site site) {
@@ -24,15 +26,52 @@
 
     @Override
     public Call read(Http.Head head, byte[] body, long at) throws Http.Bad {
+        String target = posted(head, PATH);
+        checkJson(body);
+        return new Passed(request(site, head, at), target, body);
+    }
+
+    /** The target of a request that a front takes: a POST to its path, with a query or without. */
+    static String posted(Http.Head head, String path) throws Http.Bad {
         String target = head.start[1];
-        if (!target.equals(PATH) && !target.startsWith(PATH + "?")) {
+        if (!target.equals(path) && !target.startsWith(path + "?")) {
             throw new Http.Bad(404, "no such path");
         }
         if (!head.start[0].equals("POST")) {
             throw new Http.Bad(405, "POST only");
         }
-        checkJson(body);
-        return new Passed(request(site, head, at), target, body);
+        return target;
+    }
+
+    /** Reads and passes on a made-up exchange until the code for it is compiled: the first clients are not
+     *  to wait for that. Nothing of it is kept. */
+    public void warm() throws IOException {
+        byte[] request = ("POST " + PATH + " HTTP/1.1\r\nHost: warm\r\nX-Call-Id: 0\r\nX-Call-Class: warm\r\n"
+                + "X-Caller: warm\r\nX-Route-Hash: 7f\r\nX-Budget-Ms: 1\r\n"
+                + "X-Call-Info: prefix=5c,prompt_len=9\r\n"
+                + "Content-Length: 8192\r\n\r\n{\"stream\":true,\"messages\":\"" + "x".repeat(8163) + "\"}")
+                .getBytes(StandardCharsets.UTF_8);
+        String event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
+        byte[] answer = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + (Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").repeat(20) + "0\r\n\r\n")
+                .getBytes(StandardCharsets.UTF_8);
+        Http.Output out = new Http.Output();
+        for (int i = 0; i < WARM_ROUNDS; i++) {
+            Http.Input in = new Http.Input(new ByteArrayInputStream(request), () -> 0);
+            in.await();
+            Http.Head head = in.head(true);
+            Call c = read(head, in.body(head), 0);
+            Http.Input from = new Http.Input(new ByteArrayInputStream(answer), () -> 0);
+            from.await();
+            c.begin(out, false);
+            try {
+                from.events(from.head(false), e -> c.event(out, e));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            c.end(out, false);
+            out.take();
+        }
     }
 
     /** The request that the platform's headers describe. */
@@ -127,14 +166,8 @@
 
     @Override
     public void error(Http.Output out, int status, String why, long retryAfter, boolean close) {
-        byte[] body = ("{\"error\":{\"message\":\"" + why + "\",\"code\":" + status + "}}\n")
-                .getBytes(StandardCharsets.UTF_8);
-        if (retryAfter > 0) {
-            Http.answer(out, status, "application/json", body, close, "Retry-After",
-                    Front.seconds(retryAfter));
-        } else {
-            Http.answer(out, status, "application/json", body, close);
-        }
+        String body = "{\"error\":{\"message\":\"" + why + "\",\"code\":" + status + "}}\n";
+        Http.error(out, status, body, retryAfter, close);
     }
 
     private final class Passed extends Call {
--- a/src/main/java/magpiehub/net/Discovery.java
+++ b/src/main/java/magpiehub/net/Discovery.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -304,10 +303,8 @@
     private void read(Call c, String target) {
         String why = "ended";
         try (Socket s = c.socket) {
-            int colon = address.lastIndexOf(':');
             s.setTcpNoDelay(true);
-            s.connect(new InetSocketAddress(address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1))), CONNECT_TIMEOUT_MS);
+            s.connect(Config.socketAddress(address), CONNECT_TIMEOUT_MS);
             s.getOutputStream().write(("GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII));
             Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -1,7 +1,6 @@
 package magpiehub.net;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -185,10 +184,8 @@
         if (p == null || p.hostPort == null) {
             throw new IOException("no address");
         }
-        int colon = p.hostPort.lastIndexOf(':');
         s.setTcpNoDelay(true);
-        s.connect(new InetSocketAddress(p.hostPort.substring(0, colon),
-                Integer.parseInt(p.hostPort.substring(colon + 1))), connectTimeoutMs);
+        s.connect(Config.socketAddress(p.hostPort), connectTimeoutMs);
     }
 
     // ---- One attempt ----------------------------------------------------------------------------------
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -456,6 +456,13 @@
         out.text(close ? "Connection: close\r\n\r\n" : "\r\n").bytes(body);
     }
 
+    /** An answer that says why there is no other, and when to come back if that is known. */
+    public static void error(Output out, int status, String json, long retryAfter, boolean close) {
+        String[] more = retryAfter > 0 ? new String[] {"Retry-After", Front.seconds(retryAfter)}
+                : new String[0];
+        answer(out, status, "application/json", json.getBytes(StandardCharsets.UTF_8), close, more);
+    }
+
     /** The head of an answer that is a stream of events. */
     public static void streamHead(Output out, boolean close) {
         out.text("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
--- a/src/main/java/magpiehub/store/ReplicatedStore.java
+++ b/src/main/java/magpiehub/store/ReplicatedStore.java
@@ -8,6 +8,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -54,10 +56,8 @@
             while (!closed) {
                 try (Socket s = new Socket()) {
                     socket = s;
-                    int colon = peer.lastIndexOf(':');
                     s.setTcpNoDelay(true);
-                    s.connect(new InetSocketAddress(peer.substring(0, colon),
-                            Integer.parseInt(peer.substring(colon + 1))), CONNECT_TIMEOUT_MS);
+                    s.connect(Config.socketAddress(peer), CONNECT_TIMEOUT_MS);
                     // A new mailbox before the map is read: a change from now on is in one or the other.
                     Mailbox<byte[]> fresh = new Mailbox<>(clock, MAILBOX_BYTES);
                     lines = fresh;
@@ -128,6 +128,24 @@
         return server.getLocalPort();
     }
 
+    /** A replica as a file of the deployment's describes it; null if there is none, and then the store is
+     * off. */
+    public static ReplicatedStore read(Path file, String name, Mailbox.Clock clock,
+            ModuleActor.Journal journal) throws IOException {
+        if (!Files.exists(file)) {
+            return null;
+        }
+        Config.Facts f = Config.facts(Files.readAllBytes(file), file.getFileName().toString());
+        String listen = f.text("listen", null);
+        if (listen == null) {
+            throw new Config.Malformed(file.getFileName() + " gives no address in \"listen\"");
+        }
+        ReplicatedStore s = new ReplicatedStore(name, Config.socketAddress(Config.address(listen)),
+                clock, journal);
+        f.texts("peers").forEach(s::join);
+        return s;
+    }
+
     /** Starts telling a peer. */
     public void join(String peer) {
         Link l = new Link(Config.address(peer));
@@ -215,9 +233,13 @@
                 line.reset();
                 String key = f.text("key", null);
                 String by = f.text("by", null);
-                if (key == null || by == null) {
+                if (key == null) {
                     throw new IOException("malformed line");
                 }
+                if (by == null) {
+                    put(key, f.text("value", null)); // An operator's write: it gets its stamp here.
+                    continue;
+                }
                 merge(key, new Entry(f.text("value", null), Long.parseLong(f.text("count", "")), by));
             }
         } catch (IOException | RuntimeException | OutOfMemoryError e) {
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -158,7 +158,8 @@
                 log);
         ModuleActor actor = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
         engines.module(actor);
-        Front front = messages ? new MessagesFront(site, new MessagesFront.Options("", "chat", "", Map.of()))
+        Front front = messages ? new MessagesFront(site, new MessagesFront.Options("", "chat", "",
+                Map.of()), null)
                 : new PlatformFront(site);
         clients = new Clients(any, front, actor, clock, log, discovery::known, log::counters, most);
         clients.start();
--- a/src/test/java/magpiehub/store/StoreTest.java
+++ b/src/test/java/magpiehub/store/StoreTest.java
@@ -104,6 +104,14 @@
         await(() -> "1".equals(again.get("k")));
     }
 
+    @Test
+    public void anOperatorsWriteGetsItsStampFromTheReplica() throws IOException {
+        ReplicatedStore a = replica("a", 0);
+        a.put("k", "1");
+        say(a, "{\"key\":\"k\",\"value\":\"2\"}");
+        await(() -> "2".equals(a.get("k")));
+    }
+
     @Test
     public void rubbishEndsItsOwnLinkOnly() throws IOException {
         ReplicatedStore a = replica("a", 0);
