End streams that an engine leaves silent for 2 s, where clients ask for the rest

Connection in Engines.java waited for a begun stream without any limit.

Added ServeTest: the whole program answers what it holds at SIGTERM, then ends.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -63,7 +63,7 @@
         Mailbox.Clock clock = Mailbox.Clock.SYSTEM;
         int share = Math.max(8, (r.sockets() - OTHER_DESCRIPTORS) / 2);
         Engines engines = new Engines(r.site().settings().limits().connectTimeout(),
-                r.site().idleClose(), share,
+                r.site().idleClose(), r.site().settings().resume(), share,
                 clock, log);
         Discovery discovery = new Discovery(r.discovery(), r.site(), engines, clock, log);
         ModuleActor module = new ModuleActor(r.site().settings(), r.seed(), clock, engines, discovery, log);
@@ -95,9 +95,11 @@
         WarmUp.run();
         platform.warm();
         warm.set(true);
-        log.log("started", "listen", r.listen());
+        // The port that was given, where the configuration leaves it open with 0.
+        String listen = r.listen().substring(0, r.listen().lastIndexOf(':') + 1) + clients.port();
+        log.log("started", "listen", listen);
         if (store != null) {
-            store.put("router/" + r.name(), "serving " + r.listen());
+            store.put("router/" + r.name(), "serving " + listen);
         }
         try {
             Thread.currentThread().join();
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -29,6 +29,10 @@
     /** Part of the engines' idle time after which a connection is retired: a request written later than the
      *  engine's own limit would end as a reset. */
     private static final double RETIRE_AT = 0.5;
+    /** A machine that vanishes leaves its streams open and silent. Where clients ask for the rest of a stream
+     *  that broke, one that has been silent for so long counts as broken (us): engines send an event every
+     *  few tokens, and the slowest that the site has recorded makes several events a second. */
+    private static final long SILENCE = 2_000_000;
     private static final int PROBE_TIMEOUT_MS = 1000;
 
     /** Where an engine listens now, and whether it takes new work. */
@@ -40,14 +44,17 @@
     private final int connectTimeoutMs;
     private final long retireAfter;
     private final int most;
+    private final boolean resume;
     private final Map<String, Place> places = new ConcurrentHashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
     private int connections;
     private ModuleActor module;
 
-    /** Pools of at most so many connections together. */
-    public Engines(long connectTimeout, long idleClose, int most, Mailbox.Clock clock,
+    /** Pools of at most so many connections together; {@code resume} if clients ask for the rest of
+     * streams. */
+    public Engines(long connectTimeout, long idleClose, boolean resume, int most, Mailbox.Clock clock,
             ModuleActor.Journal journal) {
+        this.resume = resume;
         this.clock = clock;
         this.journal = journal;
         this.connectTimeoutMs = (int) Math.max(1, connectTimeout / 1000);
@@ -276,6 +283,8 @@
         private boolean reusable;
         private long kept;
         private byte[] lastEvent;
+        /** When the last event came. */
+        private long heardAt;
 
         Connection(String server) {
             this.server = server;
@@ -290,13 +299,22 @@
                     if (m instanceof Exit) {
                         return;
                     }
-                    if (m == null) {
-                        retire();
-                    } else {
+                    if (m instanceof Event) {
+                        heardAt = now;
+                    }
+                    if (m != null) {
                         handle(m);
+                    } else if (lease == null) {
+                        retire();
+                    } else if (begun && outcome == null && now - heardAt >= SILENCE) {
+                        journal.count("silent_streams");
+                        broke("silent");
+                    }
+                    if (lease != null && begun && outcome == null && resume) {
+                        idleUntil = heardAt + SILENCE;
+                        continue;
                     }
-                    idleUntil = lease == null && socket != null ? idleUntil == Long.MAX_VALUE
-                            ? now + retireAfter : idleUntil : Long.MAX_VALUE;
+                    idleUntil = lease == null && socket != null ? now + retireAfter : Long.MAX_VALUE;
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -152,7 +152,7 @@
         InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
         Peer d = peers.computeIfAbsent("d", k -> new Peer());
         d.server = new ServerSocket(0, 8, any.getAddress());
-        Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), 64,
+        Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), true, 64,
                 clock, log);
         Discovery discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), site, engines, clock,
                 log);
--- /dev/null
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -0,0 +1,97 @@
+package magpiehub;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/** The whole program as a process: what it held at SIGTERM is answered before it ends. */
+public class ServeTest {
+    private static final String ASK = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\n"
+            + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+
+    private static BufferedReader reader(Socket s) throws IOException {
+        s.setSoTimeout(30_000);
+        return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    private static String until(BufferedReader in, String part) throws IOException {
+        StringBuilder seen = new StringBuilder();
+        for (String l = in.readLine(); l != null; l = in.readLine()) {
+            seen.append(l).append('\n');
+            if (l.contains(part)) {
+                return l;
+            }
+        }
+        throw new AssertionError("no line has " + part + ": " + seen);
+    }
+
+    private static void say(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void whatIsHeldAtSigtermIsAnswered() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
+                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
+            engine.setSoTimeout(30_000);
+            discovery.setSoTimeout(30_000);
+            Path config = folder.newFile().toPath();
+            Files.writeString(config, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+                    + discovery.getLocalPort() + "\",\"seed\":\"7\",\"settings\":"
+                    + Files.readString(Path.of("src/test/resources/site.json"))
+                    + ",\"known\":{\"revision\":1,\"complete\":true,\"members\":["
+                    + "{\"id\":\"e\",\"host_port\":\"127.0.0.1:"
+                    + engine.getLocalPort() + "\",\"phase\":\"Ready\"}]}}");
+            ProcessBuilder b = new ProcessBuilder(
+                    ProcessHandle.current().info().command().orElse("java"), "-cp",
+                            System.getProperty("java.class.path"), "magpiehub.Main", "serve");
+            b.environment().put("ROUTER_CONFIG", config.toString());
+            b.environment().keySet().removeAll(java.util.List.of("ROUTER_LISTEN", "ROUTER_DISCOVERY",
+                    "ROUTER_NAME"));
+            Process p = b.redirectErrorStream(true).start();
+            try (BufferedReader log = p.inputReader(); Socket watch = discovery.accept()) {
+                say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+                String started = until(log, " started ");
+                int port = Integer.parseInt(started.replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
+                try (Socket client = new Socket(loopback, port)) {
+                    say(client, ASK);
+                    try (Socket at = engine.accept()) {
+                        until(reader(at), "X-Budget-Ms");
+                        p.toHandle().destroy();
+                        until(log, " stopping ");
+                        say(at, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + "8\r\ndata: x\n\r\n0\r\n\r\n");
+                        BufferedReader answer = reader(client);
+                        assertEquals("HTTP/1.1 200 OK", answer.readLine());
+                        until(answer, "Connection: close");
+                        until(answer, "data: x");
+                        assertEquals("the last chunk", "0",
+                                answer.lines().filter(l -> l.equals("0")).findFirst().get());
+                    }
+                }
+                assertTrue(until(log, " counters ").contains("answered_served=\"1\""));
+                assertTrue(until(log, " stopped ").contains("held=\"0\""));
+                assertTrue(p.waitFor(30, TimeUnit.SECONDS));
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+}
