--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -678,11 +678,12 @@
         end(h);
     }
 
-    /** When what stands in the way may have passed: the next turn of the overload control, or the soonest end
-     *  of a pause or an ejection. Guards against clients that come back at once, and to nothing better. */
+    /** When what stands in the way may have passed: the soonest end of a pause or an ejection, or the next
+     *  sweep. Admission under overload is drawn anew for each try, so there is nothing to wait for but that;
+     *  naming the next control turn made clients late, and come all at once. */
     private long comeBack() {
         if (!s.limits().retryAfter()) { return 0; }
-        long at = shed > 0 ? lastControl + CONTROL : now + s.limits().maxRetryAfter();
+        long at = now + s.limits().maxRetryAfter();
         for (Replica r : fleet) {
             if (r.ready) { at = Math.min(at, Math.max(r.busyUntil, r.ejected ? r.ejectedUntil : now)); }
         }
