--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -131,6 +131,11 @@
     /** Within the slack: when a request that the module has not answered by its deadline is answered here. */
     private static final long BACKSTOP = 4_000;
 
+    /** When to return, for clients of what the module refuses without naming a time: its overload control
+     *  turns this often (us), and before that nothing need have changed. A shorter word brought clients back
+     *  into the same overload. */
+    private static final long COME_BACK = 500_000;
+
     private final Mailbox<Runnable> mailbox;
     private final Mailbox.Clock clock;
     private final Fleet fleet;
@@ -140,6 +145,7 @@
     private final PriorityQueue<Due> timers =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     private final int mostHeld;
+    private final long comeBack;
     private final Rules rules;
     private long order;
     private long now;
@@ -153,6 +159,8 @@
         this.roster = roster;
         this.journal = journal;
         this.mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
+        long longest = settings.limits().maxRetryAfter();
+        this.comeBack = longest > 0 ? Math.min(longest, COME_BACK) : COME_BACK;
         this.mostHeld = settings.limits().mostHeld();
         this.now = clock.micros();
         this.rules = new Rules(settings, seed, new Decisions(), now);
@@ -257,7 +265,7 @@
     private void taken(Request r, Client client, Object work) {
         if (requests.containsKey(r.id()) || requests.size() >= mostHeld) {
             journal.count("answered_refused");
-            client.refuse(1_000_000);
+            client.refuse(comeBack);
             return;
         }
         Open o = new Open(r, client, work);
@@ -382,7 +390,7 @@
             if (o != null && o.begun == null) {
                 o.attempts.forEach(ModuleActor.this::stop);
                 answer(o, "refused");
-                o.client.refuse(retryAfter);
+                o.client.refuse(retryAfter > 0 ? retryAfter : comeBack);
             }
         }
 
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -671,25 +671,13 @@
     /** The final answer when there is nothing better: refused if a retry is harmless, else failed. */
     private void turnAway(Held h) {
         if (mayRefuse(h)) {
-            out.refuse(h.r.id(), comeBack());
+            out.refuse(h.r.id(), 0);
         } else {
             out.fail(h.r.id());
         }
         end(h);
     }
 
-    /** When what stands in the way may have passed: the soonest end of a pause or an ejection, or the next
-     *  sweep. Admission under overload is drawn anew for each try, so there is nothing to wait for but that;
-     *  naming the next control turn made clients late, and come all at once. */
-    private long comeBack() {
-        if (!s.limits().retryAfter()) { return 0; }
-        long at = now + s.limits().maxRetryAfter();
-        for (Replica r : fleet) {
-            if (r.ready) { at = Math.min(at, Math.max(r.busyUntil, r.ejected ? r.ejectedUntil : now)); }
-        }
-        return Math.max(SWEEP, at - now);
-    }
-
     @Override
     public void abandoned(long time, String id) {
         at(time);
