Write numbers alike in every locale

Retry-After and generated ids were formatted in the machine's locale, which may have digits of its own.

--- a/src/main/java/magpiehub/front/MessagesFront.java
+++ b/src/main/java/magpiehub/front/MessagesFront.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import magpiehub.config.Config;
@@ -163,7 +164,7 @@
     }
 
     private static String newId() {
-        return String.format("%016x", ThreadLocalRandom.current().nextLong());
+        return String.format(Locale.ROOT, "%016x", ThreadLocalRandom.current().nextLong());
     }
 
     private static String quoted(String s) {
--- a/src/main/java/magpiehub/net/Front.java
+++ b/src/main/java/magpiehub/net/Front.java
@@ -1,6 +1,7 @@
 package magpiehub.net;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import magpiehub.core.Contract.Request;
 
 /**
@@ -72,7 +73,7 @@
     /** Seconds with three decimals, never zero. */
     static String seconds(long micros) {
         long ms = Math.max(1, (micros + 999) / 1000);
-        return ms / 1000 + "." + String.format("%03d", ms % 1000);
+        return ms / 1000 + "." + String.format(Locale.ROOT, "%03d", ms % 1000);
     }
 
     /** The event's data: what stands behind its {@code data:} fields. */
