Keep a new store link when a change comes while it opens; test the drain re-check

Run on one core, StoreTest failed once with the port in use and took 0.5 s. Two causes in ReplicatedStore.java: a change told while a link was being opened ended that link (tell, with a mailbox of no room), so it was dialled again 0.5 s later; and close returned while the accepting thread still held the listener in the kernel. A link has no mailbox until it is open now, and close waits for the thread.

EnginesTest: an engine that drains between the decision and the write gets nothing.

--- a/src/main/java/magpiehub/store/ReplicatedStore.java
+++ b/src/main/java/magpiehub/store/ReplicatedStore.java
@@ -44,8 +44,8 @@
     /** A line for one peer; its thread alone writes to its socket. */
     private final class Link {
         final String peer;
-        /** Closed while there is no link: the next one begins with everything. */
-        private volatile Mailbox<byte[]> lines = new Mailbox<>(clock, 0);
+        /** Null while there is no link: the next one begins with everything. */
+        private volatile Mailbox<byte[]> lines;
         private volatile Socket socket;
 
         Link(String peer) {
@@ -74,6 +74,8 @@
                     journal.count("store_link_failures");
                 } catch (InterruptedException e) {
                     return;
+                } finally {
+                    lines = null; // A change told now must not end the next link while it is being opened.
                 }
                 try {
                     new Mailbox<byte[]>(clock, 0).take(clock.micros() + REDIAL);
@@ -97,7 +99,7 @@
 
         void tell(byte[] line) {
             Mailbox<byte[]> to = lines;
-            if (!to.post(line, line.length) && socket != null) {
+            if (to != null && !to.post(line, line.length)) {
                 end(socket); // The peer does not read: it is told everything on the next link.
             }
         }
@@ -110,6 +112,7 @@
     private final Map<String, Entry> map = new ConcurrentSkipListMap<>();
     private final List<Link> links = new ArrayList<>();
     private final java.util.Set<Socket> accepted = ConcurrentHashMap.newKeySet();
+    private final Thread accepting;
     private long count;
     private volatile boolean closed;
 
@@ -121,7 +124,8 @@
         this.journal = journal;
         server.setReuseAddress(true);
         server.bind(listen);
-        Mailbox.thread("store-accept", this::accept).start();
+        accepting = Mailbox.thread("store-accept", this::accept);
+        accepting.start();
     }
 
     public int port() {
@@ -263,14 +267,21 @@
         closed = true;
         try {
             server.close();
+            // The port is free only once the thread that waits on it has left the kernel.
+            accepting.join();
         } catch (IOException e) {
             // Closed is closed.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         accepted.forEach(ReplicatedStore::end);
         synchronized (this) {
             for (Link l : links) {
-                l.lines.post(new byte[0]);
-                l.lines.close();
+                Mailbox<byte[]> to = l.lines;
+                if (to != null) {
+                    to.post(new byte[0]);
+                    to.close();
+                }
                 if (l.socket != null) {
                     end(l.socket);
                 }
--- /dev/null
+++ b/src/test/java/magpiehub/net/EnginesTest.java
@@ -0,0 +1,87 @@
+package magpiehub.net;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Request;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.State;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+import magpiehub.front.PlatformFront;
+import magpiehub.ops.Log;
+import org.junit.Test;
+
+/** What no recorded exchange can time: a list that changes between the decision and the write. */
+public class EnginesTest {
+    @Test
+    public void anEngineThatDrainsAfterTheDecisionGetsNothing() throws Exception {
+        Log log = new Log(System.err, "test", 1);
+        Config.Site site = Config.site(Config.facts(
+                Files.readAllBytes(Path.of("src/test/resources/site.json")), "settings"));
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        ModuleActor.Client client = new ModuleActor.Client() {
+            @Override
+            public void refuse(long retryAfter) {
+                answer.complete("refused");
+            }
+
+            @Override
+            public void fail(String why) {
+                answer.complete("failed");
+            }
+
+            @Override
+            public void move() {
+                answer.complete("moved");
+            }
+        };
+        ModuleActor.Roster roster = new ModuleActor.Roster() {
+            @Override
+            public void watch() {
+            }
+
+            @Override
+            public void unwatch() {
+            }
+
+            @Override
+            public void fetch() {
+            }
+        };
+        try (ServerSocket engine = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            Engines engines = new Engines(250_000, 30_000_000, true, 8, Mailbox.Clock.SYSTEM, log);
+            ModuleActor module = new ModuleActor(site.settings(), 7, Mailbox.Clock.SYSTEM, engines,
+                    roster, log);
+            engines.module(module);
+            Thread t = Mailbox.thread("module", module::run);
+            t.start();
+            module.list(ListKind.SAVED, List.of(new Server("e", 0, 0, 0, State.LIVE, 1, 0)));
+            // The list's actor has heard of the drain; its word to the module is still under way.
+            engines.place("e", "127.0.0.1:" + engine.getLocalPort(), false);
+            String text = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: chat\r\n"
+                    + "X-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
+            Http.Input in = new Http.Input(new java.io.ByteArrayInputStream(text.getBytes()),
+                    Mailbox.Clock.SYSTEM::micros);
+            assertTrue(in.await());
+            Http.Head head = in.head(true);
+            Front.Call call = new PlatformFront(site).read(head, in.body(head), in.firstAt());
+            Request r = call.request;
+            assertTrue(module.take(r, client, call, 2));
+            assertEquals("refused", answer.get(60, TimeUnit.SECONDS));
+            assertTrue(log.counters(), log.counters().contains("drained_before_write 1\n"));
+            engine.setSoTimeout(1);
+            org.junit.Assert.assertThrows(java.net.SocketTimeoutException.class, engine::accept);
+            t.interrupt();
+        }
+    }
+}
