Take SIGHUP, let idle clients make room, and judge requests before the module

A class that does not exist went to the module as -1 and came back as 503, a word to ask again.

- Main takes SIGHUP before all else; an actor reads the file again.
An unreadable one changes nothing, discovery's address is followed at once with the old watch counting until the new one has told the whole list, other changes are logged.
- From half of the budget on, connections idle for 2 s go, longest idle first; at nine tenths those that never sent a whole request.
The first request has 2.5 s from connecting, later ones 6 s.
Engines get three eighths of the descriptors.
- Unknown class, headers that stand twice and an id in use are errors of their own.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -40,12 +40,16 @@
 
     /** Runs a command; exit status 0 on success, 1 on malformed input or configuration, 2 on wrong usage. */
     public static void main(String[] args) throws IOException {
+        // Guards against the JVM's own answer to SIGHUP, which is to end: taken before anything else, read by
+        // an actor once there is something to reload.
+        Mailbox<Object> hangups = new Mailbox<>(Mailbox.Clock.SYSTEM, 1);
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> hangups.post(s));
         if (args.length == 1 && args[0].equals("adapter")) {
             WarmUp.run();
             System.exit(new Drill(System.in, System.out, System.err).run());
         } else if (args.length == 1 && args[0].equals("serve")) {
             try {
-                serve(Config.router(System.getenv()));
+                serve(Config.router(System.getenv()), hangups);
             } catch (IOException | RuntimeException e) {
                 // One line for whoever starts it: what is wrong, or at least what failed.
                 System.err.println("magpiehub: " + (e instanceof Config.Malformed ? e.getMessage() : e));
@@ -57,13 +61,15 @@
         }
     }
 
-    private static void serve(Config.Router r) throws IOException {
+    private static void serve(Config.Router r, Mailbox<Object> hangups) throws IOException {
         Log log = new Log(System.err, r.name(), ProcessHandle.current().pid());
         log.start();
         Mailbox.Clock clock = Mailbox.Clock.SYSTEM;
-        int share = Math.max(8, (r.sockets() - OTHER_DESCRIPTORS) / 2);
+        // Requests in hand take at most a third of the descriptors on each side; clients that stay need more.
+        int forEngines = Math.max(8, r.sockets() * 3 / 8);
+        int forClients = Math.max(8, r.sockets() - OTHER_DESCRIPTORS - forEngines);
         Engines engines = new Engines(r.site().settings().limits().connectTimeout(),
-                r.site().idleClose(), r.site().settings().resume(), share,
+                r.site().idleClose(), r.site().settings().resume(), forEngines,
                 clock, log);
         Discovery discovery = new Discovery(r.discovery(), r.site(), engines, clock, log);
         ModuleActor module = new ModuleActor(r.site().settings(), r.seed(), clock, engines, discovery, log);
@@ -74,7 +80,7 @@
         PlatformFront platform = new PlatformFront(r.site());
         Clients clients = new Clients(Config.socketAddress(r.listen()), platform, module,
                 clock, log,
-                ready, counters, share * 15 / 16 - 4);
+                ready, counters, forClients * 15 / 16 - 4);
         clients.start();
         // The next two are off unless a file of the deployment's gives their address; the platform has none.
         MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
@@ -88,6 +94,7 @@
         }
         List<Clients> fronts = messages == null ? List.of(clients) : List.of(clients, messages);
         discovery.start(module, r.known());
+        Mailbox.thread("reload", () -> reload(r, hangups, discovery, log)).start();
         Mailbox.thread("module", module::run).start();
         boolean resume = r.site().settings().resume();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log, store,
@@ -108,6 +115,31 @@
         }
     }
 
+    /** SIGHUP: the file is read again. A file that can't be used changes nothing; discovery's address is
+     *  followed at once, and what else differs is named in the log, for it takes a restart. */
+    private static void reload(Config.Router started, Mailbox<Object> hangups, Discovery discovery, Log log) {
+        try {
+            while (true) {
+                hangups.take(Long.MAX_VALUE);
+                while (hangups.poll() != null) {
+                    log.count("hangups_together"); // The file is as new for them all.
+                }
+                try {
+                    Config.Router r = Config.reread(System.getenv());
+                    discovery.move(r.discovery());
+                    log.count("reloads");
+                    log.log("reloaded", "discovery", r.discovery(), "needs_restart",
+                            String.join(" ", started.changes(r)));
+                } catch (IOException | RuntimeException | StackOverflowError e) {
+                    log.count("reload_failures");
+                    log.log("reload-failed", "error", String.valueOf(e.getMessage()));
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** SIGTERM: new connections for the hand-over, then only what is held, then the counters and the end. */
     private static void stop(List<Clients> fronts, ModuleActor module, boolean resume,
             Log log, Store store, String name) {
--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -65,9 +65,33 @@
         }
     }
 
-    /** A router's own configuration. {@code known} is the list as JSON, in discovery's form. */
+    /** A router's own configuration. {@code known} is the list as JSON, in discovery's form; {@code file} is
+     *  what the file said, for comparing it with a later one. */
     public record Router(String name, String listen, String discovery, long seed, int memoryMb, int sockets,
-            byte[] known, Site site) {
+            byte[] known, Site site, Map<String, Object> file) {
+        /** The members of the file in which a later file differs, settings by their own names. The list and
+         *  the seed belong to a start, and discovery's address is followed at once: these don't count. */
+        public List<String> changes(Router later) {
+            List<String> names = new ArrayList<>();
+            differences(file, later.file, "", names);
+            names.removeAll(List.of("known", "seed", "discovery"));
+            return names;
+        }
+    }
+
+    private static void differences(Map<?, ?> a, Map<?, ?> b, String path, List<String> names) {
+        java.util.Set<Object> keys = new java.util.TreeSet<>(a.keySet());
+        keys.addAll(b.keySet());
+        for (Object k : keys) {
+            Object x = a.get(k);
+            Object y = b.get(k);
+            if (path.isEmpty() && x instanceof Map<?, ?> m && y instanceof Map<?, ?> n
+                    && !k.equals("known")) {
+                differences(m, n, k + ".", names);
+            } else if (!java.util.Objects.equals(x, y)) {
+                names.add(path + k);
+            }
+        }
     }
 
     private Config() {
@@ -309,6 +333,14 @@
     }
 
     // ---- A router's own file --------------------------------------------------------------------------
+    /** The configuration after a new file has replaced the old one: the variables are those of the start, so
+     *  from then on the file says where discovery is. */
+    public static Router reread(Map<String, String> env) throws IOException {
+        Map<String, String> kept = new java.util.HashMap<>(env);
+        kept.remove("ROUTER_DISCOVERY");
+        return router(kept);
+    }
+
     /** Reads the file that ROUTER_CONFIG names; the other variables go before what it says. */
     public static Router router(Map<String, String> env) throws IOException {
         String file = env.get("ROUTER_CONFIG");
@@ -328,7 +360,7 @@
                 address(said(env, "ROUTER_LISTEN", f.text("listen", null))),
                 address(said(env, "ROUTER_DISCOVERY", f.text("discovery", null))), seed(f.map().get("seed")),
                 (int) limits.number("memory_mb", 192), (int) limits.number("sockets", 1024),
-                known == null ? null : write(known), site(f.object("settings")));
+                known == null ? null : write(known), site(f.object("settings")), f.map());
     }
 
     /** The single object that a text holds. */
--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -263,7 +263,14 @@
 
     // ---- Events ---------------------------------------------------------------------------------------
     private void taken(Request r, Client client, Object work) {
-        if (requests.containsKey(r.id()) || requests.size() >= mostHeld) {
+        if (requests.containsKey(r.id())) {
+            // Somebody else's open request: neither its client nor its engine may be mixed up with this one.
+            journal.count("answered_failed");
+            journal.count("ids_in_use");
+            client.fail("id in use");
+            return;
+        }
+        if (requests.size() >= mostHeld) {
             journal.count("answered_refused");
             client.refuse(comeBack);
             return;
--- a/src/main/java/magpiehub/front/MessagesFront.java
+++ b/src/main/java/magpiehub/front/MessagesFront.java
@@ -116,13 +116,13 @@
             throw new Http.Bad(413, "body too large");
         }
         String cls = head.get("X-Call-Class");
-        int c = site.cls(cls != null ? cls : classOf(model));
+        int c = PlatformFront.cls(site, cls != null ? cls : classOf(model));
         String tenant = head.get("X-Caller");
         String id = head.get("X-Call-Id");
         String route = head.get("X-Route-Hash");
         String budget = head.get("X-Budget-Ms");
         long wait = budget != null ? PlatformFront.budget(budget)
-                : c >= 0 ? site.settings().classes().get(c).deadline() : 0;
+                : site.settings().classes().get(c).deadline();
         // A conversation is known by its opening: each turn brings all that went before.
         long session = route != null ? PlatformFront.whole(route, 16, "X-Route-Hash")
                 : hash(f.object("metadata").text("user_id", "") + '\n' + system + '\n' + opening);
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -46,7 +46,8 @@
     /** Reads and passes on a made-up exchange until the code for it is compiled: the first clients are not
      *  to wait for that. Nothing of it is kept. */
     public void warm() throws IOException {
-        byte[] request = ("POST " + PATH + " HTTP/1.1\r\nHost: warm\r\nX-Call-Id: 0\r\nX-Call-Class: warm\r\n"
+        byte[] request = ("POST " + PATH + " HTTP/1.1\r\nHost: warm\r\nX-Call-Id: 0\r\nX-Call-Class: "
+                + site.settings().classes().get(0).name() + "\r\n"
                 + "X-Caller: warm\r\nX-Route-Hash: 7f\r\nX-Budget-Ms: 1\r\n"
                 + "X-Call-Info: prefix=5c,prompt_len=9\r\n"
                 + "Content-Length: 8192\r\n\r\n{\"stream\":true,\"messages\":\"" + "x".repeat(8163) + "\"}")
@@ -78,11 +79,11 @@
     static Request request(Config.Site site, Http.Head head, long at) throws Http.Bad {
         String id = id(need(head, "X-Call-Id"));
         long budget = budget(need(head, "X-Budget-Ms"));
-        String tenant = head.get("X-Caller");
-        String route = head.get("X-Route-Hash");
+        String tenant = head.only("X-Caller");
+        String route = head.only("X-Route-Hash");
         long prefix = 0;
         double[] lengths = new double[3];
-        String info = head.get("X-Call-Info");
+        String info = head.only("X-Call-Info");
         for (String part : info == null || info.isBlank() ? new String[0] : info.split(",")) {
             int eq = part.indexOf('=');
             String name = eq < 0 ? "" : part.substring(0, eq).strip();
@@ -100,12 +101,21 @@
             }
         }
         String again = head.get("X-Again");
-        return new Request(id, site.cls(need(head, "X-Call-Class")), tenant == null ? -1
+        return new Request(id, cls(site, need(head, "X-Call-Class")), tenant == null ? -1
                 : site.tenant(tenant),
                 route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget, 0,
                 lengths[0], lengths[1], lengths[2], "1".equals(again), false, "again".equals(again));
     }
 
+    /** A class that there is: the module is never asked to judge another. */
+    static int cls(Config.Site site, String name) throws Http.Bad {
+        int c = site.cls(name);
+        if (c < 0) {
+            throw new Http.Bad(400, "no such class");
+        }
+        return c;
+    }
+
     static String id(String id) throws Http.Bad {
         if (id.isEmpty() || id.length() > 64 || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
             throw new Http.Bad(400, "malformed X-Call-Id");
@@ -123,7 +133,7 @@
     }
 
     private static String need(Http.Head head, String name) throws Http.Bad {
-        String v = head.get(name);
+        String v = head.only(name);
         if (v == null) {
             throw new Http.Bad(400, name + " is missing");
         }
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -7,11 +7,15 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import magpiehub.core.Mailbox;
 import magpiehub.core.ModuleActor;
@@ -19,8 +23,9 @@
 /**
  * The clients' side: one listener with its front, and the connections that it accepts. Each connection has a
  * reader thread that only parses and posts, and an actor that owns the exchange in hand and alone writes. It
- * owns the clients' part of the descriptors. It must never answer a request twice, write an end to a stream
- * that is not whole, or make anybody but its own client wait.
+ * owns the clients' part of the descriptors, and ends what holds them idle when they run short. It must
+ * never answer a request twice, write an end to a stream that is not whole, or make anybody but its own
+ * client wait.
  */
 public final class Clients {
     /** What waits for one client at most; a whole answer is far smaller. */
@@ -30,8 +35,16 @@
     /** How long a connection that is being closed waits for its client's own end, so that the last answer
      *  is not destroyed by a reset (us). */
     private static final long LINGER = 1_000_000;
-    /** How long a begun request may take to come in (ms). */
-    private static final int REQUEST_TIMEOUT_MS = 20_000;
+    /** A client that has connected is to have sent its first request by then, whether it says nothing, a head
+     *  without end or half a request (us): it is owed an error within 3 s. */
+    private static final long FIRST_REQUEST = 2_500_000;
+    /** How long a later request may take from its first byte, and between two reads of it (us). */
+    private static final long REQUEST = 6_000_000;
+    private static final int READ_MS = 3_000;
+    /** A connection may be closed once it has been idle for so long (us). */
+    private static final long IDLE = 2_000_000;
+    /** At the limit, clients that have not sent a request yet are let go once they have had so long (us). */
+    private static final long SILENT = 300_000;
     private static final int MOST_DISCARDED = 1 << 20;
     /** Bodies in hand at most, for all clients: the heap holds each up to three times while it is read. */
     private static final long MOST_IN_HAND = 12L << 20;
@@ -80,16 +93,19 @@
             try {
                 s = server.accept();
                 s.setTcpNoDelay(true);
+                makeRoom();
                 // Past the budget a client still gets an answer: a few descriptors are kept for saying no.
                 boolean room = open.size() < most;
                 if (!room) {
                     journal.count("clients_shed");
                 }
                 new Connection(s, !room).start();
+                journal.count("clients_accepted");
                 while (open.size() >= most + most / 16 + 4 && !server.isClosed()) {
                     synchronized (open) {
                         open.wait(50);
                     }
+                    makeRoom();
                 }
             } catch (IOException | OutOfMemoryError e) {
                 if (!server.isClosed()) {
@@ -106,6 +122,37 @@
         }
     }
 
+    /** Guards against clients that ask once and stay, or connect and say nothing: from half of the budget on,
+     *  connections that have been idle for long enough go, longest idle first; at nine tenths of it those
+     *  whose first request is outstanding, oldest first. */
+    private void makeRoom() {
+        int over = open.size() - most / 2;
+        if (over <= 0) {
+            return;
+        }
+        long now = clock.micros();
+        over -= leave(c -> c.asked && now - c.quietSince >= IDLE, over);
+        if (over > 0 && open.size() >= most - most / 10) {
+            leave(c -> !c.asked && now - c.quietSince >= SILENT, Math.min(over, most / 10 + 1));
+        }
+    }
+
+    private int leave(Predicate<Connection> which, int most) {
+        List<Connection> quiet = new ArrayList<>();
+        for (Connection c : open) {
+            if (c.quietSince != BUSY && !c.leaving && which.test(c)) {
+                quiet.add(c);
+            }
+        }
+        quiet.sort(Comparator.comparingLong(c -> c.quietSince));
+        int n = Math.min(most, quiet.size());
+        for (Connection c : quiet.subList(0, n)) {
+            c.leaving = true;
+            c.mailbox.post(new Leave());
+        }
+        return n;
+    }
+
     /** From now on each answer is its connection's last. New connections are still accepted. */
     public void announceClosing() {
         closing = true;
@@ -136,6 +183,12 @@
     private record CloseIfIdle() {
     }
 
+    private record Leave() {
+    }
+
+    /** In place of the time since when a connection is quiet, while it has a request in hand. */
+    private static final long BUSY = Long.MAX_VALUE;
+
     private record Event(Exchange exchange, byte[] bytes) {
     }
 
@@ -209,6 +262,12 @@
         private final AtomicBoolean full = new AtomicBoolean();
         /** The client has asked for the connection to end with this answer. */
         private boolean lastAnswer;
+        /** Since when there is no request in hand; whether one has ever come whole; whether one is coming in;
+         *  whether the connection has been told to leave. The accepting thread reads these. */
+        private volatile long quietSince = clock.micros();
+        private volatile boolean asked;
+        private volatile boolean reading;
+        private volatile boolean leaving;
 
         Connection(Socket socket, boolean shed) {
             this.socket = socket;
@@ -251,8 +310,10 @@
         private void read() {
             try {
                 Http.Input in = new Http.Input(socket.getInputStream(), clock::micros);
+                in.patience(REQUEST);
                 while (in.await()) {
-                    socket.setSoTimeout(REQUEST_TIMEOUT_MS);
+                    reading = true;
+                    socket.setSoTimeout(READ_MS);
                     Http.Head head = in.head(true);
                     int room = Http.Input.announced(head);
                     if (inHand.addAndGet(room) > MOST_IN_HAND) {
@@ -265,6 +326,7 @@
                         byte[] body = in.body(head);
                         socket.setSoTimeout(0);
                         posted = mailbox.post(new Arrived(head, body, in.firstAt(), room), body.length);
+                        reading = false;
                     } finally {
                         if (!posted) {
                             inHand.addAndGet(-room);
@@ -309,21 +371,27 @@
 
         // ---- The actor --------------------------------------------------------------------------------
         private void run() {
-            long until = Long.MAX_VALUE;
+            long until = quietSince + FIRST_REQUEST;
             try {
                 OutputStream to = socket.getOutputStream();
                 while (!ended) {
                     Object m = mailbox.take(until);
                     if (m == null) {
-                        return;
+                        if (lingering) {
+                            return;
+                        }
+                        journal.count("clients_without_request");
+                        m = new Malformed(408, "no request in time");
                     }
                     for (; m != null && !ended; m = out.length() < 16 * 1024 ? mailbox.poll() : null) {
                         handle(m);
                     }
                     out.flush(to);
-                    if (lingering && until == Long.MAX_VALUE) {
+                    if (lingering && !socket.isOutputShutdown()) {
                         socket.shutdownOutput();
                         until = clock.micros() + LINGER;
+                    } else if (asked && !lingering) {
+                        until = Long.MAX_VALUE;
                     }
                 }
             } catch (IOException e) {
@@ -371,12 +439,14 @@
 
         private void handle(Object m) {
             if (m instanceof Arrived a) {
+                asked = true;
                 if (current == null && !lingering) {
                     begin(a);
                 } else if (ahead.size() < MOST_AHEAD) {
                     ahead.add(a);
                 } else {
-                    ended = true;
+                    // No client of ours sends so many ahead: the one in hand is answered, then it ends.
+                    lastAnswer = true;
                     inHand.addAndGet(-a.room);
                 }
             } else if (m instanceof Event e) {
@@ -421,21 +491,33 @@
                 if (current == null && !lingering) {
                     front.error(out, b.status, b.why, b.status == 503 ? SHED_PAUSE : 0, true);
                     lingering = true;
-                } else if (current != null && current.begun) {
-                    ended = true;
                 } else {
-                    // Rubbish behind a request that is still waiting: that one is answered, then it ends.
+                    // Rubbish behind a request in hand: that one is answered, then it ends.
                     lastAnswer = true;
                 }
             } else if (m instanceof Left) {
                 ended = true;
+            } else if (m instanceof Leave) {
+                leave();
             } else if (m instanceof CloseIfIdle) {
                 lingering = lingering || current == null && ahead.isEmpty();
             }
         }
 
+        /** Room is needed. A request that has begun to come in meanwhile keeps the connection, unless the
+         *  client has never sent a whole one. */
+        private void leave() {
+            leaving = false;
+            if (current != null || !ahead.isEmpty() || lingering || asked && reading) {
+                return;
+            }
+            journal.count(asked ? "clients_idle_closed" : "clients_silent_closed");
+            ended = true;
+        }
+
         private void over(boolean close) {
             current = null;
+            quietSince = clock.micros();
             inHand.addAndGet(-room);
             room = 0;
             if (close) {
@@ -447,6 +529,7 @@
 
         private void begin(Arrived a) {
             room = a.room;
+            quietSince = BUSY;
             lastAnswer |= a.head.closes();
             boolean close = last();
             String path = a.head.start[1];
--- a/src/main/java/magpiehub/net/Discovery.java
+++ b/src/main/java/magpiehub/net/Discovery.java
@@ -17,8 +17,9 @@
 
 /**
  * The list's actor: it asks discovery when the module says so, one watch and one call at a time, and posts
- * what comes, in the order of its revisions. It owns the revision, and the meaning of an entry's fields. It
- * must never ask again by itself (the module backs off), take silence for peace, or go back to an older list.
+ * what comes, in the order of its revisions. It owns the revision, the address that it asks, and the meaning
+ * of an entry's fields. It must never ask again by itself (the module backs off) but for the one watch that
+ * opens a new address, take silence for peace, apply lists of two watches, or go back to an older list.
  */
 public final class Discovery implements ModuleActor.Roster {
     /** Discovery writes at least an empty line each 2 s: after this long the watch has failed (us). What it
@@ -35,6 +36,9 @@
     private record Unwatch() {
     }
 
+    private record Move(String address) {
+    }
+
     private record Line(Call from, byte[] bytes) {
     }
 
@@ -44,16 +48,18 @@
     /** One call under way. */
     private static final class Call {
         final boolean watch;
+        final String address;
         final Socket socket = new Socket();
         boolean first = true;
         long until;
 
-        Call(boolean watch) {
+        Call(boolean watch, String address) {
             this.watch = watch;
+            this.address = address;
         }
     }
 
-    private final String address;
+    private String address;
     private final Config.Site site;
     private final Engines engines;
     private final Mailbox.Clock clock;
@@ -63,6 +69,8 @@
     private final long offset;
     private ModuleActor module;
     private Call watch;
+    /** The watch on the address before: it counts until the one on the new address has told its first. */
+    private Call former;
     private Call fetch;
     private long revision = -1;
     private volatile boolean known;
@@ -112,6 +120,11 @@
         mailbox.post(new Ask(false));
     }
 
+    /** Discovery is at another address from now on. Any thread. */
+    public void move(String to) {
+        mailbox.post(new Move(to));
+    }
+
     // ---- The actor ------------------------------------------------------------------------------------
     private void run() {
         try {
@@ -125,7 +138,8 @@
 
     private void turn() throws InterruptedException {
         try {
-            long until = Math.min(watch == null ? Long.MAX_VALUE : watch.until,
+            long until = Math.min(Math.min(watch == null ? Long.MAX_VALUE : watch.until,
+                    former == null ? Long.MAX_VALUE : former.until),
                     fetch == null ? Long.MAX_VALUE : fetch.until);
             Object m = mailbox.take(until);
             long now = clock.micros();
@@ -135,12 +149,18 @@
                 Call c = watch;
                 watch = null;
                 close(c);
-            } else if (m instanceof Line l && (l.from == watch || l.from == fetch)) {
+                close(former);
+                former = null;
+            } else if (m instanceof Move to) {
+                move(to.address, now);
+            } else if (m instanceof Line l
+                    && (l.from == watch || l.from == former || l.from == fetch)) {
                 line(l, now);
-            } else if (m instanceof Ended e && (e.from == watch || e.from == fetch)) {
+            } else if (m instanceof Ended e
+                    && (e.from == watch || e.from == former || e.from == fetch)) {
                 ended(e.from, e.why);
             } else if (m == null) {
-                for (Call c : new Call[] {watch, fetch}) {
+                for (Call c : new Call[] {watch, former, fetch}) {
                     if (c != null && c.until <= now) {
                         ended(c, "silent");
                     }
@@ -153,10 +173,26 @@
         }
     }
 
+    /** Guards against a gap: the watch on the old address goes on until the new one has spoken. The new
+     *  address is asked at once, since the old one's end would come too late, and for the whole list. */
+    private void move(String to, long now) {
+        if (to.equals(address)) {
+            return;
+        }
+        journal.count("discovery_moves");
+        journal.log("discovery-moved", "from", address, "to", to);
+        address = to;
+        if (former == null && watch != null && !watch.first) {
+            former = watch;
+            watch = null;
+        }
+        ask(true, now);
+    }
+
     private void ask(boolean forWatch, long now) {
         // One of a kind at a time: a second watch would be another call in discovery's queue.
         close(forWatch ? watch : fetch);
-        Call c = new Call(forWatch);
+        Call c = new Call(forWatch, address);
         c.until = now + PATIENCE;
         if (forWatch) {
             watch = c;
@@ -165,12 +201,16 @@
         }
         journal.count("discovery_calls");
         String target = "/discovery/hosts" + (!forWatch ? ""
-                : "?follow=1" + (revision >= 0 ? "&since=" + revision : ""));
+                : "?follow=1" + (revision >= 0 && former == null ? "&since=" + revision : ""));
         Mailbox.thread("discovery-reader", () -> read(c, target)).start();
     }
 
     private void line(Line l, long now) {
         l.from.until = now + SILENCE;
+        if (l.from == watch && former != null) {
+            close(former);
+            former = null;
+        }
         try {
             if (l.bytes.length > 0 && !new String(l.bytes, StandardCharsets.UTF_8).isBlank()) {
                 apply(l.bytes, l.from.first, false);
@@ -193,6 +233,10 @@
 
     private void ended(Call c, String why) {
         close(c);
+        if (c == former) {
+            former = null; // Its address has closed it; the watch on the new one is under way or asked for.
+            return;
+        }
         if (c == watch) {
             watch = null;
         } else {
@@ -304,8 +348,9 @@
         String why = "ended";
         try (Socket s = c.socket) {
             s.setTcpNoDelay(true);
-            s.connect(Config.socketAddress(address), CONNECT_TIMEOUT_MS);
-            s.getOutputStream().write(("GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
+            s.connect(Config.socketAddress(c.address), CONNECT_TIMEOUT_MS);
+            s.getOutputStream().write(("GET " + target + " HTTP/1.1\r\nHost: " + c.address
+                    + "\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII));
             Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
             if (in.await()) {
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -73,6 +73,14 @@
             return false;
         }
 
+        /** Guards against a header that two readers could take from two places. */
+        public String only(String name) throws Bad {
+            if (count(name) > 1) {
+                throw new Bad(400, name + " stands twice");
+            }
+            return get(name);
+        }
+
         private int count(String name) {
             return (int) names.stream().filter(name::equalsIgnoreCase).count();
         }
@@ -98,6 +106,7 @@
         private int pos;
         private int end;
         private long firstAt;
+        private long patience = Long.MAX_VALUE;
 
         /** Says what time it is: once a read, which is this loop's turn. */
         public interface Time {
@@ -109,6 +118,11 @@
             this.time = time;
         }
 
+        /** How long a message may take from its first byte (us); one that comes byte by byte ends too. */
+        public void patience(long most) {
+            patience = most;
+        }
+
         /** When the first byte of the message being read came (us). */
         public long firstAt() {
             return firstAt;
@@ -151,6 +165,9 @@
         }
 
         private void more(String where) throws IOException {
+            if (patience != Long.MAX_VALUE && time.micros() - firstAt > patience) {
+                throw new java.net.SocketTimeoutException("too slow in " + where);
+            }
             if (!fill()) {
                 throw new java.io.EOFException("connection ended in " + where);
             }
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -117,6 +117,7 @@
     private final Log log = new Log(new PrintStream(logged, true, StandardCharsets.UTF_8), "test", 1);
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private Clients clients;
+    private Discovery discovery;
     private Thread module;
     private boolean messages;
     private int most = 64;
@@ -154,7 +155,7 @@
         d.server = new ServerSocket(0, 8, any.getAddress());
         Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), true, 64,
                 clock, log);
-        Discovery discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), site, engines, clock,
+        discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), site, engines, clock,
                 log);
         ModuleActor actor = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
         engines.module(actor);
@@ -186,6 +187,12 @@
                     known += (known.isEmpty() ? "" : ",") + member(name, "Ready");
                 }
             }
+            case "address" -> {
+                Peer p = new Peer();
+                p.server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+                peers.put(rest, p);
+            }
+            case "move" -> discovery.move("127.0.0.1:" + peers.get(rest).server.getLocalPort());
             case "start" -> start();
             case "clock" -> clock.now.addAndGet(Long.parseLong(rest) * 1000);
             case "counter" -> counter(rest);
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -17,7 +17,8 @@
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
 
-/** The whole program as a process: what it held at SIGTERM is answered before it ends. */
+/** The whole program as a process: what it held at SIGTERM is answered before it ends, and a new
+ *  configuration is taken on SIGHUP. */
 public class ServeTest {
     private static final String ASK = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\n"
             + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
@@ -45,6 +46,62 @@
         s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    private static void write(Path config, ServerSocket discovery, ServerSocket engine) throws IOException {
+        Files.writeString(config, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+                + discovery.getLocalPort() + "\",\"seed\":\"7\",\"settings\":"
+                + Files.readString(Path.of("src/test/resources/site.json"))
+                + ",\"known\":{\"revision\":1,\"complete\":true,\"members\":["
+                + "{\"id\":\"e\",\"host_port\":\"127.0.0.1:"
+                + engine.getLocalPort() + "\",\"phase\":\"Ready\"}]}}");
+    }
+
+    /** Discovery is named by the variable too, as the platform does. */
+    private static Process start(Path config, ServerSocket discovery) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElse("java"), "-cp",
+                        System.getProperty("java.class.path"), "magpiehub.Main", "serve");
+        b.environment().put("ROUTER_CONFIG", config.toString());
+        b.environment().keySet().removeAll(java.util.List.of("ROUTER_LISTEN", "ROUTER_NAME"));
+        b.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.getLocalPort());
+        return b.redirectErrorStream(true).start();
+    }
+
+    private static void hangUp(Process p) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor());
+    }
+
+    @Test
+    public void aNewFileIsTakenOnSighupAndABadOneChangesNothing() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
+                ServerSocket first = new ServerSocket(0, 8, loopback);
+                ServerSocket second = new ServerSocket(0, 8, loopback)) {
+            first.setSoTimeout(30_000);
+            second.setSoTimeout(30_000);
+            Path config = folder.newFile().toPath();
+            write(config, first, engine);
+            Process p = start(config, first);
+            try (BufferedReader log = p.inputReader(); Socket watch = first.accept()) {
+                say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+                until(log, " started ");
+                Files.writeString(config, "{\"name\":");
+                hangUp(p);
+                until(log, " reload-failed ");
+                write(config, second, engine);
+                Files.writeString(config, Files.readString(config)
+                        .replace("\"connectTimeoutMs\":250", "\"connectTimeoutMs\":300"));
+                hangUp(p);
+                try (Socket moved = second.accept()) {
+                    assertTrue(until(reader(moved), "GET ").contains("/discovery/hosts?follow=1 "));
+                    assertTrue(until(log, " reloaded ").contains("needs_restart=\"settings.limits\""));
+                }
+                assertTrue(p.isAlive());
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     public void whatIsHeldAtSigtermIsAnswered() throws Exception {
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
@@ -53,19 +110,8 @@
             engine.setSoTimeout(30_000);
             discovery.setSoTimeout(30_000);
             Path config = folder.newFile().toPath();
-            Files.writeString(config, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-                    + discovery.getLocalPort() + "\",\"seed\":\"7\",\"settings\":"
-                    + Files.readString(Path.of("src/test/resources/site.json"))
-                    + ",\"known\":{\"revision\":1,\"complete\":true,\"members\":["
-                    + "{\"id\":\"e\",\"host_port\":\"127.0.0.1:"
-                    + engine.getLocalPort() + "\",\"phase\":\"Ready\"}]}}");
-            ProcessBuilder b = new ProcessBuilder(
-                    ProcessHandle.current().info().command().orElse("java"), "-cp",
-                            System.getProperty("java.class.path"), "magpiehub.Main", "serve");
-            b.environment().put("ROUTER_CONFIG", config.toString());
-            b.environment().keySet().removeAll(java.util.List.of("ROUTER_LISTEN", "ROUTER_DISCOVERY",
-                    "ROUTER_NAME"));
-            Process p = b.redirectErrorStream(true).start();
+            write(config, discovery, engine);
+            Process p = start(config, discovery);
             try (BufferedReader log = p.inputReader(); Socket watch = discovery.accept()) {
                 say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
                 String started = until(log, " started ");
