Give actors a crew of few threads, and drop what bad engines spoil

Ruled out: garbage collection (14 young collections in 65 s), shed clients, threads that spin (none among those sampled), connections opened (30 a s). A profile of the hot router has 74% in the kernel's task switch, with signal stops on the path, over all of its 450 to 640 threads alike: the machine holds the process to its share by stopping it, and each stop and start costs each thread a switch. The costs then exceed the share. Lines: Clients.Connection.start and Engines.start, two threads a connection each.

- Actors of connections take turns on a crew of four threads, with one more when none is free for 20 ms; one thread a side tells connections their time.
Readers connect.
- When there are many clients, an answer is its connection's last and silence counts for 1 s.
- Chunk sizes are bounded and read as 64 bits, 1xx heads and a head's time bounded, an unreadable header of no meaning is left aside, framing inside an event is a fault, and a connection rests 20 ms and must have a request written before bytes on it are an answer: a second answer can't be taken for the next request's.
- A lone reset no longer ejects an engine (garbled streams come from any alike), an error still does; engines that are gone are forgotten, with pools and addresses.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -68,9 +68,11 @@
         // Requests in hand take at most a third of the descriptors on each side; clients that stay need more.
         int forEngines = Math.max(8, r.sockets() * 3 / 8);
         int forClients = Math.max(8, r.sockets() - OTHER_DESCRIPTORS - forEngines);
+        Mailbox.Crew crew = new Mailbox.Crew();
         Engines engines = new Engines(r.site().settings().limits().connectTimeout(),
                 r.site().idleClose(), r.site().settings().resume(), forEngines,
-                clock, log);
+                clock, log, crew);
+        engines.start();
         Discovery discovery = new Discovery(r.discovery(), r.site(), engines, clock, log);
         ModuleActor module = new ModuleActor(r.site().settings(), r.seed(), clock, engines, discovery, log);
         engines.module(module);
@@ -80,14 +82,14 @@
         PlatformFront platform = new PlatformFront(r.site());
         Clients clients = new Clients(Config.socketAddress(r.listen()), platform, module,
                 clock, log,
-                ready, counters, forClients * 15 / 16 - 4);
+                ready, counters, forClients * 15 / 16 - 4, crew);
         clients.start();
         // The next two are off unless a file of the deployment's gives their address; the platform has none.
         MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
         Store store = ReplicatedStore.read(Path.of("deploy/store.json"), r.name(), clock, log);
         Clients messages = options == null ? null : new Clients(Config.socketAddress(options.listen()),
                 new MessagesFront(r.site(), options, store), module, clock, log, ready, counters,
-                        MESSAGES_CLIENTS);
+                        MESSAGES_CLIENTS, crew);
         if (messages != null) {
             messages.start();
             log.log("messages-front", "listen", options.listen());
--- a/src/main/java/magpiehub/core/Mailbox.java
+++ b/src/main/java/magpiehub/core/Mailbox.java
@@ -6,11 +6,12 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * A mailbox, the clock that its owner waits by, and the thread that empties it. It owns the order in which
- * messages reach one actor: first in, first out, whoever posts. It must never drop a message and go on: what
- * does not fit into its bytes ends the peer, through {@link #post} answering false, and what is posted to a
- * closed mailbox is refused in the same way. Nothing in here blocks a poster, but
- * for the reader of the very peer that the mailbox belongs to, where it asks for that.
+ * A mailbox, the clock that its owner waits by, and the threads that empty it: one of its own, or those of a
+ * {@link Crew} where actors are many and mostly have nothing to do. It owns the order in which messages reach
+ * one actor: first in, first out, whoever posts. It must never drop a message and go on: what does not fit
+ * into its bytes ends the peer, through {@link #post} answering false, and what is posted to a closed mailbox
+ * is refused in the same way. Nothing in here blocks a poster, but for the reader of the very peer that the
+ * mailbox belongs to, where it asks for that.
  */
 public final class Mailbox<M> {
     /** Whole microseconds on a clock that only goes forward. */
@@ -48,6 +49,134 @@
     private final long most;
     private long held;
     private boolean closed;
+    private Crew crew;
+    private Runnable turn;
+    private boolean underWay;
+
+    /**
+     * The threads that actors without one of their own take their turns on. A thread costs the process each
+     * time that it is stopped and continued, so there are few; one more comes when none has been free for a
+     * while, since a turn may block on a peer that does not read. It must never run one actor twice at once:
+     * its mailbox sees to that.
+     */
+    public static final class Crew {
+        private static final int FEW = 4;
+        private static final int MANY = 256;
+        /** How long all may be at work before another comes, and how long one stays idle. */
+        private static final long STUCK_NANOS = 20_000_000;
+        private static final long STAY_NANOS = 2_000_000_000;
+
+        private final ReentrantLock lock = new ReentrantLock();
+        private final Condition work = lock.newCondition();
+        private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+        private int threads;
+        private int idle;
+        private long takenAt = System.nanoTime();
+
+        void execute(Runnable r) {
+            lock.lock();
+            try {
+                waiting.add(r);
+                if (idle > 0) {
+                    work.signal();
+                } else {
+                    grow();
+                }
+            } finally {
+                lock.unlock();
+            }
+        }
+
+        /** Called now and then: all threads may be blocked while nobody posts. */
+        public void check() {
+            lock.lock();
+            try {
+                if (!waiting.isEmpty() && idle == 0) {
+                    grow();
+                }
+            } finally {
+                lock.unlock();
+            }
+        }
+
+        private void grow() {
+            if (threads >= FEW && (threads >= MANY || System.nanoTime() - takenAt < STUCK_NANOS)) {
+                return;
+            }
+            try {
+                thread("actor", this::run).start();
+                threads++;
+                takenAt = System.nanoTime();
+            } catch (OutOfMemoryError e) {
+                if (threads == 0) {
+                    throw e;
+                }
+            }
+        }
+
+        private void run() {
+            while (true) {
+                Runnable r;
+                lock.lock();
+                try {
+                    long left = STAY_NANOS;
+                    while (waiting.isEmpty()) {
+                        if (left <= 0 && threads > FEW) {
+                            threads--;
+                            return;
+                        }
+                        idle++;
+                        try {
+                            left = work.awaitNanos(Math.max(left, 1_000_000));
+                        } catch (InterruptedException e) {
+                            left = 0; // Nobody interrupts a crew; whoever does has it look again.
+                        } finally {
+                            idle--;
+                        }
+                        left = threads > FEW ? left : STAY_NANOS;
+                    }
+                    r = waiting.poll();
+                    takenAt = System.nanoTime();
+                } finally {
+                    lock.unlock();
+                }
+                r.run();
+            }
+        }
+    }
+
+    /** Gives the actor its turns on a crew: called whenever there is something to {@link #poll}, never twice
+     *  at once. A turn is to take all there is, and must not throw. */
+    public void attach(Crew threads, Runnable actorsTurn) {
+        lock.lock();
+        try {
+            crew = threads;
+            turn = actorsTurn;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean due() {
+        boolean start = turn != null && !underWay;
+        underWay |= start;
+        return start;
+    }
+
+    private void turns() {
+        while (true) {
+            turn.run();
+            lock.lock();
+            try {
+                if (queue.isEmpty()) {
+                    underWay = false;
+                    return;
+                }
+            } finally {
+                lock.unlock();
+            }
+        }
+    }
 
     /** A mailbox that holds at most so many bytes of payload. */
     public Mailbox(Clock clock, long most) {
@@ -57,23 +186,33 @@
 
     /** False if the message does not fit or the mailbox is closed: then its peer is to be ended. */
     public boolean post(M message, int bytes) {
+        boolean start;
         lock.lock();
         try {
             if (closed || held + bytes > most) {
                 return false;
             }
-            held += bytes;
-            queue.add(new Entry<>(message, bytes));
-            arrived.signal();
-            return true;
+            start = put(message, bytes);
         } finally {
             lock.unlock();
         }
+        if (start) {
+            crew.execute(this::turns);
+        }
+        return true;
+    }
+
+    private boolean put(M message, int bytes) {
+        held += bytes;
+        queue.add(new Entry<>(message, bytes));
+        arrived.signal();
+        return due();
     }
 
     /** For a peer's own reader: waits until there is room, so that only what that peer sends is held back. A
      *  single message larger than the mailbox goes in alone. False once the mailbox is closed. */
     public boolean postWhenRoom(M message, int bytes) throws InterruptedException {
+        boolean start;
         lock.lock();
         try {
             while (!closed && held > 0 && held + bytes > most) {
@@ -82,13 +221,14 @@
             if (closed) {
                 return false;
             }
-            held += bytes;
-            queue.add(new Entry<>(message, bytes));
-            arrived.signal();
-            return true;
+            start = put(message, bytes);
         } finally {
             lock.unlock();
         }
+        if (start) {
+            crew.execute(this::turns);
+        }
+        return true;
     }
 
     /** A word that ends something: small, bounded in number by what it ends, and taken whatever is queued. */
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -61,6 +61,10 @@
     private static final long EJECT_FIRST = 2_000_000;
     private static final long EJECT_MOST = 16_000_000;
     private static final double MOST_EJECTED = 0.34;
+    /** Broken attempts that eject; they count less with time (us) and with each answer served. */
+    private static final double BREAKS = 1.5;
+    private static final double BREAK_TAU = 4_000_000;
+    private static final double BREAK_SERVED = 0.8;
     /** How long a replica that said 'full' is passed over (us), before jitter. */
     private static final long FULL_PAUSE = 300_000;
     /** Retry budget: earned per request, most saved, and the cost of an error that came at once. */
@@ -238,10 +242,19 @@
             } else {
                 leave(r);
             }
+            if (e.state() == Contract.State.DEAD) {
+                // A new engine has a new id: what has gone would be held, and walked over, for good.
+                replicas.remove(r.id);
+                fleet.remove(r);
+                changed = true;
+            }
         }
         if (changed) { rebuild(); }
     }
 
+    /** Replicas remembered. */
+    int known() { return fleet.size(); }
+
     /** A draining or missing replica gets nothing new from this moment; deques drop it when they meet it. */
     private void leave(Replica r) {
         r.ready = false;
@@ -720,6 +733,7 @@
         Replica r = a.replica;
         switch (o) {
             case OK -> {
+                r.breaks *= BREAK_SERVED;
                 if (r.inflight + 1 >= r.limit) { r.limit += 1 / r.limit; }
                 double mean = meanWhole[h.r.cls()] == 0 ? took : meanWhole[h.r.cls()];
                 meanWhole[h.r.cls()] = mean + (Math.min(took, 4 * mean) - mean) * 0.05;
@@ -731,7 +745,8 @@
                 r.limit = Math.max(1, Math.min(r.limit, r.inflight + 1) * 0.8);
                 r.busyUntil = now + (long) (FULL_PAUSE * (0.5 + random()));
             }
-            case ERROR, RESET -> eject(r, false);
+            case ERROR -> eject(r, false);
+            case RESET -> broken(r);
             case CONNECT_FAILED -> unreachable(r);
             case TIMEOUT -> {
                 bad++;
@@ -746,6 +761,14 @@
         }
     }
 
+    /** One break tells of the request or of the wire as often as of the replica; two soon after each other,
+     *  with little served in between, tell of the replica. */
+    private void broken(Replica r) {
+        r.breaks = r.breaks * Math.exp((r.brokeAt - now) / BREAK_TAU) + 1;
+        r.brokeAt = now;
+        if (r.breaks >= BREAKS) { eject(r, false); }
+    }
+
     private void reached(Replica r) {
         r.unreachable = false;
         zoneFailures[zone(r.entry.zone())] = 0;
--- a/src/main/java/magpiehub/core/State.java
+++ b/src/main/java/magpiehub/core/State.java
@@ -26,6 +26,8 @@
         double limit = 64;
         double slow = 1;
         int strikes;
+        double breaks;
+        long brokeAt;
         boolean ejected;
         boolean unreachable;
         boolean trialOut;
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -22,7 +22,8 @@
 
 /**
  * The clients' side: one listener with its front, and the connections that it accepts. Each connection has a
- * reader thread that only parses and posts, and an actor that owns the exchange in hand and alone writes. It
+ * reader thread that only parses and posts, and an actor that owns the exchange in hand and alone writes; the
+ * actors take their turns on a crew of threads, and one thread tells them when their time has come. It
  * owns the clients' part of the descriptors, and ends what holds them idle when they run short. It must
  * never answer a request twice, write an end to a stream that is not whole, or make anybody but its own
  * client wait.
@@ -43,8 +44,12 @@
     private static final int READ_MS = 3_000;
     /** A connection may be closed once it has been idle for so long (us). */
     private static final long IDLE = 2_000_000;
-    /** At the limit, clients that have not sent a request yet are let go once they have had so long (us). */
-    private static final long SILENT = 300_000;
+    /** How often the connections' times are looked at (us). */
+    private static final long TICK = 50_000;
+    /** When there are many, clients that have not sent a byte are let go after so long (us), and at the limit
+     *  all that have not sent a request yet after so short a time. */
+    private static final long SILENT = 1_000_000;
+    private static final long SILENT_AT_LIMIT = 300_000;
     private static final int MOST_DISCARDED = 1 << 20;
     /** Bodies in hand at most, for all clients: the heap holds each up to three times while it is read. */
     private static final long MOST_IN_HAND = 12L << 20;
@@ -59,6 +64,7 @@
     private final Supplier<String> counters;
     private final int most;
     private final ServerSocket server = new ServerSocket();
+    private final Mailbox.Crew crew;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     /** Bytes of request bodies read or being read, and not yet answered or begun. */
     private final AtomicLong inHand = new AtomicLong();
@@ -66,8 +72,9 @@
 
     /** A listener that is bound but accepts nothing until {@link #start}. */
     public Clients(InetSocketAddress listen, Front front, ModuleActor module, Mailbox.Clock clock,
-            ModuleActor.Journal journal, BooleanSupplier ready, Supplier<String> counters, int most)
-            throws IOException {
+            ModuleActor.Journal journal, BooleanSupplier ready, Supplier<String> counters, int most,
+            Mailbox.Crew crew) throws IOException {
+        this.crew = crew;
         this.front = front;
         this.module = module;
         this.clock = clock;
@@ -85,6 +92,26 @@
 
     public void start() {
         Mailbox.thread("accept", this::accept).start();
+        Mailbox.thread("client-times", this::times).start();
+    }
+
+    /** Tells connections whose time has come, however many there are. */
+    private void times() {
+        Mailbox<Object> nothing = new Mailbox<>(clock, 0);
+        try {
+            while (!server.isClosed() || !open.isEmpty()) {
+                nothing.take(clock.micros() + TICK);
+                long now = clock.micros();
+                for (Connection c : open) {
+                    if (c.due <= now) {
+                        c.mailbox.post(new Due());
+                    }
+                }
+                crew.check();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void accept() {
@@ -122,18 +149,25 @@
         }
     }
 
-    /** Guards against clients that ask once and stay, or connect and say nothing: from half of the budget on,
-     *  connections that have been idle for long enough go, longest idle first; at nine tenths of it those
-     *  whose first request is outstanding, oldest first. */
+    /** Each connection costs a thread, and each thread costs CPU time whenever the process is held to its
+     *  share: from an eighth of the budget on, an answer is its connection's last. */
+    private boolean many() {
+        return open.size() > most / 8;
+    }
+
+    /** Guards against clients that ask once and stay, or connect and say nothing. When there are many,
+     *  connections that have been idle for long enough go, longest idle first, and then those that have said
+     *  nothing; at nine tenths of the budget all whose first request is outstanding, oldest first. */
     private void makeRoom() {
-        int over = open.size() - most / 2;
+        int over = open.size() - most / 8;
         if (over <= 0) {
             return;
         }
         long now = clock.micros();
         over -= leave(c -> c.asked && now - c.quietSince >= IDLE, over);
+        over -= leave(c -> !c.asked && !c.reading && now - c.quietSince >= SILENT, over);
         if (over > 0 && open.size() >= most - most / 10) {
-            leave(c -> !c.asked && now - c.quietSince >= SILENT, Math.min(over, most / 10 + 1));
+            leave(c -> !c.asked && now - c.quietSince >= SILENT_AT_LIMIT, Math.min(over, most / 10 + 1));
         }
     }
 
@@ -186,6 +220,10 @@
     private record Leave() {
     }
 
+    /** The time that the connection has named has come. */
+    private record Due() {
+    }
+
     /** In place of the time since when a connection is quiet, while it has a request in hand. */
     private static final long BUSY = Long.MAX_VALUE;
 
@@ -268,6 +306,9 @@
         private volatile boolean asked;
         private volatile boolean reading;
         private volatile boolean leaving;
+        /** When this connection is to be told that time has passed. */
+        private volatile long due = quietSince + FIRST_REQUEST;
+        private boolean gone;
 
         Connection(Socket socket, boolean shed) {
             this.socket = socket;
@@ -276,12 +317,7 @@
 
         void start() {
             open.add(this);
-            try {
-                Mailbox.thread("client", this::run).start();
-            } catch (OutOfMemoryError e) {
-                open.remove(this);
-                throw e;
-            }
+            mailbox.attach(crew, this::turn);
             try {
                 Mailbox.thread("client-reader", this::read).start();
             } catch (OutOfMemoryError e) {
@@ -370,56 +406,61 @@
         }
 
         // ---- The actor --------------------------------------------------------------------------------
-        private void run() {
-            long until = quietSince + FIRST_REQUEST;
-            try {
-                OutputStream to = socket.getOutputStream();
-                while (!ended) {
-                    Object m = mailbox.take(until);
-                    if (m == null) {
-                        if (lingering) {
-                            return;
-                        }
-                        journal.count("clients_without_request");
-                        m = new Malformed(408, "no request in time");
-                    }
-                    for (; m != null && !ended; m = out.length() < 16 * 1024 ? mailbox.poll() : null) {
-                        handle(m);
-                    }
-                    out.flush(to);
-                    if (lingering && !socket.isOutputShutdown()) {
-                        socket.shutdownOutput();
-                        until = clock.micros() + LINGER;
-                    } else if (asked && !lingering) {
-                        until = Long.MAX_VALUE;
-                    }
-                }
-            } catch (IOException e) {
-                // The client has gone while it was written to.
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } catch (RuntimeException | OutOfMemoryError e) {
-                journal.count("client_exceptions");
-                journal.log("client-exception", "error", e.toString());
-                lastWords();
-            } finally {
-                closeQuietly(socket);
-                mailbox.close();
-                inHand.addAndGet(-room);
-                ahead.forEach(a -> inHand.addAndGet(-a.room));
-                for (Object m = mailbox.poll(); m != null; m = mailbox.poll()) {
-                    inHand.addAndGet(m instanceof Arrived a ? -a.room : 0);
+        private void turn() {
+            if (!gone) {
+                try {
+                    answer(socket.getOutputStream());
+                } catch (IOException e) {
+                    ended = true; // The client has gone while it was written to.
+                } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
+                    journal.count("client_exceptions");
+                    journal.log("client-exception", "error", e.toString());
+                    lastWords();
+                    ended = true;
                 }
-                if (current != null) {
-                    module.gone(current.call.request.id());
+            }
+            if (ended) {
+                end();
+            }
+        }
+
+        private void answer(OutputStream to) throws IOException {
+            for (Object m = mailbox.poll(); m != null && !ended; m = mailbox.poll()) {
+                for (; m != null && !ended; m = out.length() < 16 * 1024 ? mailbox.poll() : null) {
+                    handle(m);
                 }
-                open.remove(this);
-                synchronized (open) {
-                    open.notifyAll();
+                out.flush(to);
+                if (lingering && !socket.isOutputShutdown()) {
+                    socket.shutdownOutput();
+                    due = clock.micros() + LINGER;
+                } else if (asked && !lingering) {
+                    due = Long.MAX_VALUE;
                 }
             }
         }
 
+        /** The end of this connection; what is posted later is let go of. */
+        private void end() {
+            closeQuietly(socket);
+            mailbox.close();
+            for (Object m = mailbox.poll(); m != null; m = mailbox.poll()) {
+                inHand.addAndGet(m instanceof Arrived a ? -a.room : 0);
+            }
+            if (gone) {
+                return;
+            }
+            gone = true;
+            inHand.addAndGet(-room);
+            ahead.forEach(a -> inHand.addAndGet(-a.room));
+            if (current != null) {
+                module.gone(current.call.request.id());
+            }
+            open.remove(this);
+            synchronized (open) {
+                open.notifyAll();
+            }
+        }
+
         /** After an exception: what was taken and not begun is answered still. */
         private void lastWords() {
             try {
@@ -499,6 +540,17 @@
                 ended = true;
             } else if (m instanceof Leave) {
                 leave();
+            } else if (m instanceof Due) {
+                if (clock.micros() < due) {
+                    return;
+                }
+                due = Long.MAX_VALUE;
+                if (lingering) {
+                    ended = true;
+                } else if (!asked) {
+                    journal.count("clients_without_request");
+                    handle(new Malformed(408, "no request in time"));
+                }
             } else if (m instanceof CloseIfIdle) {
                 lingering = lingering || current == null && ahead.isEmpty();
             }
@@ -549,6 +601,8 @@
                 over(true);
                 return;
             }
+            lastAnswer |= many();
+            close = last();
             Front.Call call;
             try {
                 call = front.read(a.head, a.body, a.at);
--- a/src/main/java/magpiehub/net/Discovery.java
+++ b/src/main/java/magpiehub/net/Discovery.java
@@ -284,7 +284,8 @@
             engines.only(ids);
         }
         for (Config.Entry e : entries) {
-            engines.place(e.server().id(), e.address(), e.server().state() == State.LIVE);
+            engines.place(e.server().id(), e.address(), e.server().state() == State.LIVE,
+                    e.server().state() == State.DEAD);
         }
         List<Server> servers = entries.stream().map(Config.Entry::server).toList();
         if (saved) {
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -5,8 +5,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
@@ -19,9 +21,11 @@
 /**
  * The engines' side: where each engine listens, a pool of connections for each, and the relay of one answer
  * at a time on a connection. The pools belong to the module's thread. Each connection has an actor that
- * connects, writes and owns the attempt in hand, and a reader thread that only parses and posts. It owns the
+ * writes and owns the attempt in hand, and a reader thread that only connects, parses and posts; the actors
+ * take their turns on a crew of threads, and one thread tells them when their time has come. It owns the
  * engines' part of the descriptors. It must never write a request to an engine that takes no work, have a
- * request out on two connections, or pass on an event before the module has granted the stream.
+ * request out on two connections, pass on an event before the module has granted the stream, or take bytes
+ * behind one answer for the next.
  */
 public final class Engines implements ModuleActor.Fleet {
     /** Bytes that wait for one connection's actor; a whole answer is far smaller. */
@@ -34,6 +38,15 @@
      *  few tokens, and the slowest that the site has recorded makes several events a second. */
     private static final long SILENCE = 2_000_000;
     private static final int PROBE_TIMEOUT_MS = 1000;
+    /** How long a connection rests between two requests (us): what an engine sends behind a whole answer has
+     *  come by then, and can't be taken for the answer to the next one. */
+    private static final long REST = 20_000;
+    /** How long the head of an answer may take from its first byte, which comes with the first token. */
+    private static final long HEAD = 1_000_000;
+    /** Heads of the kind 1xx ahead of an answer at most. */
+    private static final int MOST_AHEAD = 8;
+    /** How often the connections' times are looked at (us). */
+    private static final long TICK = 50_000;
 
     /** Where an engine listens now, and whether it takes new work. */
     private record Place(String hostPort, boolean takes) {
@@ -47,13 +60,16 @@
     private final boolean resume;
     private final Map<String, Place> places = new ConcurrentHashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
+    private final Mailbox.Crew crew;
+    private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private int connections;
     private ModuleActor module;
 
     /** Pools of at most so many connections together; {@code resume} if clients ask for the rest of
      * streams. */
     public Engines(long connectTimeout, long idleClose, boolean resume, int most, Mailbox.Clock clock,
-            ModuleActor.Journal journal) {
+            ModuleActor.Journal journal, Mailbox.Crew crew) {
+        this.crew = crew;
         this.resume = resume;
         this.clock = clock;
         this.journal = journal;
@@ -67,23 +83,48 @@
         this.module = actor;
     }
 
+    /** Tells connections whose time has come, however many there are. */
+    public void start() {
+        Mailbox.thread("engine-times", () -> {
+            Mailbox<Object> nothing = new Mailbox<>(clock, 0);
+            try {
+                while (true) {
+                    nothing.take(clock.micros() + TICK);
+                    long now = clock.micros();
+                    for (Connection c : open) {
+                        if (c.due <= now) {
+                            c.mailbox.post(new Due());
+                        }
+                    }
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }).start();
+    }
+
     /** Discovery's word on one engine, before the module hears of it. Any thread. */
-    void place(String id, String hostPort, boolean takes) {
+    void place(String id, String hostPort, boolean takes, boolean gone) {
+        if (gone) {
+            // Guards against growing with each engine that there ever was.
+            places.remove(id);
+            return;
+        }
         places.compute(id, (k, old) -> new Place(hostPort != null ? hostPort : old == null ? null
                 : old.hostPort,
                 takes));
     }
 
-    /** Engines that a whole list does not name take no work. */
-    void only(java.util.Set<String> ids) {
-        places.replaceAll((id, p) -> ids.contains(id) ? p : new Place(p.hostPort, false));
+    /** Engines that a whole list does not name are gone. */
+    void only(Set<String> ids) {
+        places.keySet().retainAll(ids);
     }
 
     // ---- The pools: the module's thread ---------------------------------------------------------------
     @Override
     public ModuleActor.Handle start(Attempt attempt) {
         ArrayDeque<Connection> free = idle.get(attempt.server);
-        Connection c = free == null ? null : free.pollLast();
+        Connection c = free == null ? null : rested(free);
         Lease lease = new Lease(attempt);
         if (c == null) {
             if (connections >= most && !evict()) {
@@ -92,14 +133,8 @@
                 return lease;
             }
             c = new Connection(attempt.server);
-            try {
-                Mailbox.thread("engine", c::run).start();
-            } catch (OutOfMemoryError e) {
-                // No thread is to be had: as good as no connection, and what is open goes on.
-                journal.count("engine_connections_short");
-                module.ended(attempt, Outcome.FULL, -1);
-                return lease;
-            }
+            c.mailbox.attach(crew, c::turn);
+            open.add(c);
             connections++;
         }
         c.leased = true;
@@ -108,6 +143,19 @@
         return lease;
     }
 
+    /** The connection last used of those that have rested. */
+    private Connection rested(ArrayDeque<Connection> pool) {
+        long now = clock.micros();
+        for (Iterator<Connection> i = pool.descendingIterator(); i.hasNext();) {
+            Connection c = i.next();
+            if (now - c.freedAt >= REST) {
+                i.remove();
+                return c;
+            }
+        }
+        return null;
+    }
+
     /** Makes room by ending the connection that has been idle longest in the largest pool. */
     private boolean evict() {
         ArrayDeque<Connection> largest = null;
@@ -131,6 +179,7 @@
         c.leased = false;
         Place p = places.get(c.server);
         if (alive && p != null && p.takes) {
+            c.freedAt = clock.micros();
             idle.computeIfAbsent(c.server, k -> new ArrayDeque<>()).addLast(c);
         } else {
             discharge(c);
@@ -147,10 +196,11 @@
 
     @Override
     public void list(ListKind kind, List<Server> servers) {
-        for (Map.Entry<String, ArrayDeque<Connection>> e : idle.entrySet()) {
-            Place p = places.get(e.getKey());
+        for (String id : List.copyOf(idle.keySet())) {
+            Place p = places.get(id);
             if (p == null || !p.takes) {
-                closeIdle(e.getKey());
+                closeIdle(id);
+                idle.remove(id);
             }
         }
     }
@@ -252,6 +302,13 @@
     private record Exit() {
     }
 
+    /** The time that the connection has named has come. */
+    private record Due() {
+    }
+
+    private record Connected(Socket from) {
+    }
+
     /** What a reader has to say, with the socket that it reads from. */
     private record Answered(Socket from, int status, boolean rejected, boolean reusable) {
     }
@@ -268,8 +325,16 @@
     private final class Connection {
         private final String server;
         private final Mailbox<Object> mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
-        /** The module's thread alone reads and writes this. */
+        /** The module's thread alone reads and writes these. */
         private boolean leased;
+        private long freedAt;
+        /** When this connection is to be told that time has passed. */
+        private volatile long due = Long.MAX_VALUE;
+        /** Requests written on the socket in hand: an answer without one is none. */
+        private volatile int written;
+        private boolean connecting;
+        private boolean gone;
+        private long idleSince;
         private Socket socket;
         private String connectedTo;
         private Lease lease;
@@ -290,43 +355,47 @@
             this.server = server;
         }
 
-        void run() {
-            long idleUntil = Long.MAX_VALUE;
-            try {
-                while (true) {
-                    Object m = mailbox.take(idleUntil);
-                    long now = clock.micros();
-                    if (m instanceof Exit) {
-                        return;
-                    }
-                    if (m instanceof Event) {
-                        heardAt = now;
-                    }
-                    if (m != null) {
-                        handle(m);
-                    } else if (lease == null) {
-                        retire();
-                    } else if (begun && outcome == null && now - heardAt >= SILENCE) {
-                        journal.count("silent_streams");
-                        broke("silent");
-                    }
-                    if (lease != null && begun && outcome == null && resume) {
-                        idleUntil = heardAt + SILENCE;
-                        continue;
-                    }
-                    idleUntil = lease == null && socket != null ? now + retireAfter : Long.MAX_VALUE;
+        private void turn() {
+            for (Object m = mailbox.poll(); m != null; m = mailbox.poll()) {
+                if (m instanceof Exit) {
+                    gone = true;
+                    drop();
+                    mailbox.close();
+                    open.remove(this);
                 }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } finally {
-                drop();
-                mailbox.close();
+                if (gone) {
+                    continue;
+                }
+                long now = clock.micros();
+                if (m instanceof Event) {
+                    heardAt = now;
+                }
+                handle(m, now);
+                due = lease == null ? socket == null ? Long.MAX_VALUE : idleSince + retireAfter
+                        : begun && outcome == null && resume ? heardAt + SILENCE : Long.MAX_VALUE;
+            }
+        }
+
+        private void due(long now) {
+            if (now < due) {
+                return;
+            }
+            if (lease == null) {
+                retire();
+            } else if (begun && outcome == null) {
+                journal.count("silent_streams");
+                broke("silent");
             }
         }
 
-        private void handle(Object m) {
+        private void handle(Object m, long now) {
             try {
-                if (m instanceof Start s) {
+                if (m instanceof Due) {
+                    due(now);
+                } else if (m instanceof Connected c && c.from == socket) {
+                    connecting = false;
+                    write();
+                } else if (m instanceof Start s) {
                     begin(s.lease);
                 } else if (m instanceof Grant g && g.lease == lease) {
                     granted = true;
@@ -345,7 +414,7 @@
                 } else if (m instanceof Broken b && b.from == socket) {
                     broke(b.why);
                 }
-            } catch (RuntimeException | OutOfMemoryError e) {
+            } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
                 // Ends this attempt's work, answers given: the module hears of a reset.
                 journal.count("engine_exceptions");
                 journal.log("engine-exception", "engine", server, "error", e.toString());
@@ -368,62 +437,80 @@
                 return;
             }
             sink = call.sink();
-            boolean reused = socket != null;
-            while (true) {
-                Place p = places.get(server);
-                // The list may have changed since the module decided: a draining engine gets nothing new.
-                if (p == null || !p.takes) {
-                    journal.count("drained_before_write");
-                    fail(Outcome.CONNECT_FAILED);
-                    return;
-                }
-                if (socket != null && !p.hostPort.equals(connectedTo)) {
-                    drop();
-                    reused = false;
-                }
-                try {
-                    if (socket == null) {
-                        open(l, p);
-                    } else if (!l.bind(socket)) {
-                        drop();
-                        free(false);
-                        return;
-                    }
-                    if (places.get(server) == null || !places.get(server).takes) {
-                        journal.count("drained_before_write");
-                        fail(Outcome.CONNECT_FAILED);
-                        return;
-                    }
-                    socket.getOutputStream().write(request(call, l.attempt));
-                    return;
-                } catch (IOException e) {
-                    drop();
-                    if (!l.bind(null)) {
-                        free(false);
-                        return;
-                    }
-                    if (!reused) {
-                        journal.count("connect_failures");
-                        journal.log("connect-failed", "engine", server, "error", e.toString());
-                        fail(Outcome.CONNECT_FAILED);
-                        return;
-                    }
-                    reused = false; // The engine had closed it while it was idle: nothing has run.
-                    journal.count("stale_connections");
-                }
+            if (socket != null && places.get(server) != null
+                    && !connectedTo.equals(places.get(server).hostPort)) {
+                drop();
+            }
+            if (socket == null) {
+                open();
+            } else if (l.bind(socket)) {
+                write();
+            } else {
+                drop();
+                free(false);
             }
         }
 
-        private void open(Lease l, Place p) throws IOException {
+        /** Whether the engine takes work still: the list may have changed since the module decided. */
+        private boolean takes() {
+            Place p = places.get(server);
+            if (p == null || !p.takes || p.hostPort == null) {
+                journal.count("drained_before_write");
+                fail(Outcome.CONNECT_FAILED);
+                return false;
+            }
+            return true;
+        }
+
+        private void open() {
+            if (!takes()) {
+                return;
+            }
             Socket s = new Socket();
-            if (!l.bind(s)) {
-                throw new IOException("given up");
+            if (!lease.bind(s)) {
+                free(false);
+                return;
             }
             socket = s;
-            connectedTo = p.hostPort;
+            connectedTo = places.get(server).hostPort;
+            connecting = true;
+            written = 0;
             journal.count("engine_connects");
-            connect(s, server);
-            Mailbox.thread("engine-reader", () -> read(s)).start();
+            String to = connectedTo;
+            Mailbox.thread("engine-reader", () -> read(s, to)).start();
+        }
+
+        private void write() {
+            if (!takes()) {
+                return;
+            }
+            if (!(lease.attempt.work() instanceof Front.Call call)) {
+                fail(Outcome.CANCELLED);
+                return;
+            }
+            boolean reused = written > 0;
+            try {
+                byte[] request = request(call, lease.attempt);
+                written++;
+                socket.getOutputStream().write(request);
+            } catch (IOException e) {
+                drop();
+                if (!lease.bind(null)) {
+                    free(false);
+                } else if (reused) {
+                    // The engine had closed it while it was idle: nothing has run.
+                    journal.count("stale_connections");
+                    open();
+                } else {
+                    notConnected(e.toString());
+                }
+            }
+        }
+
+        private void notConnected(String why) {
+            journal.count("connect_failures");
+            journal.log("connect-failed", "engine", server, "error", why);
+            fail(Outcome.CONNECT_FAILED);
         }
 
         private byte[] request(Front.Call call, Attempt a) {
@@ -523,6 +610,10 @@
             if (lease.given()) {
                 return; // This side closed it: the module's word to stop is in the mailbox.
             }
+            if (connecting) {
+                notConnected(why);
+                return;
+            }
             journal.log("engine-broke", "engine", server, "begun", Boolean.toString(begun), "why", why);
             if (!begun) {
                 fail(Outcome.RESET);
@@ -562,6 +653,7 @@
         }
 
         private void free(boolean alive) {
+            idleSince = clock.micros();
             lease = null;
             sink = null;
             if (!alive) {
@@ -583,15 +675,29 @@
         }
 
         // ---- The reader -------------------------------------------------------------------------------
-        private void read(Socket s) {
+        private void read(Socket s, String to) {
             String why = "ended";
             try {
+                s.setTcpNoDelay(true);
+                s.connect(Config.socketAddress(to), connectTimeoutMs);
+                mailbox.post(new Connected(s));
                 Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
-                while (in.await()) {
+                for (int answers = 1; in.await(); answers++) {
+                    if (answers > written) {
+                        throw new Http.Bad(502, "bytes behind the answer");
+                    }
+                    // Guards against a head without end, which would hold the request to its deadline.
+                    s.setSoTimeout((int) (HEAD / 1000));
+                    in.patience(HEAD);
                     Http.Head h = in.head(false);
-                    while (h.status() / 100 == 1) {
+                    for (int i = 0; h.status() / 100 == 1; i++) {
+                        if (i == MOST_AHEAD) {
+                            throw new Http.Bad(502, "no end of 1xx");
+                        }
                         h = in.head(false);
                     }
+                    s.setSoTimeout(0);
+                    in.patience(Long.MAX_VALUE);
                     if (h.status() == 200) {
                         in.events(h, e -> {
                             // An engine that is faster than its actor waits; nothing of an answer is lost
@@ -600,11 +706,11 @@
                                 throw new IOException("ended");
                             }
                         });
-                        mailbox.post(new End(s, !h.closes()));
+                        mailbox.post(new End(s, !h.closes() && in.empty()));
                     } else {
                         in.body(h);
                         mailbox.post(new Answered(s, h.status(), "1".equals(h.get("X-Rejected")),
-                                !h.closes()));
+                                !h.closes() && in.empty()));
                     }
                 }
             } catch (IOException | InterruptedException | RuntimeException | OutOfMemoryError e) {
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -19,6 +19,7 @@
     public static final int MOST_BODY = 256 * 1024;
     private static final int MOST_HEADERS = 100;
     private static final int MOST_CHUNK_LINE = 256;
+    private static final int MOST_CHUNK = 4 * MOST_BODY;
 
     private Http() {
     }
@@ -128,6 +129,11 @@
             return firstAt;
         }
 
+        /** Whether nothing has come yet behind the message just read. */
+        public boolean empty() {
+            return pos == end;
+        }
+
         /** Waits for the first byte of the next message; false if the peer has ended the connection. */
         public boolean await() throws IOException {
             if (pos == end) {
@@ -175,6 +181,11 @@
 
         /** One line without its end; {@code status} is the answer to one that is too long. */
         private String line(int most, int status, String what) throws IOException {
+            return line(most, status, what, false);
+        }
+
+        /** {@code any} takes control characters too, for what is not read any further. */
+        private String line(int most, int status, String what, boolean any) throws IOException {
             int seen = 0;
             while (true) {
                 for (; pos + seen < end; seen++) {
@@ -182,7 +193,7 @@
                         int length = seen > 0 && buf[pos + seen - 1] == '\r' ? seen - 1 : seen;
                         String s = new String(buf, pos, length, StandardCharsets.ISO_8859_1);
                         pos += seen + 1;
-                        for (int i = 0; i < length; i++) {
+                        for (int i = 0; i < length && !any; i++) {
                             char c = s.charAt(i);
                             if (c < ' ' && c != '\t' || c == 0x7f) {
                                 throw new Bad(400, "control character in " + what);
@@ -218,7 +229,7 @@
             }
             Head h = new Head(start);
             while (true) {
-                String l = line(room, 431, "header");
+                String l = line(room, 431, "header", !request);
                 if (l.isEmpty()) {
                     return h;
                 }
@@ -233,6 +244,8 @@
                 }
                 h.names.add(l.substring(0, colon));
                 h.values.add(l.substring(colon + 1).strip());
+                // An engine's report that can't be read is no fault of its answer; its framing must be right:
+                // what framing() takes has no room for a control character.
             }
         }
 
@@ -297,23 +310,27 @@
             String l = line(MOST_CHUNK_LINE, 400, "chunk size");
             int semicolon = l.indexOf(';');
             String size = (semicolon < 0 ? l : l.substring(0, semicolon)).strip();
-            if (size.isEmpty() || size.length() > 7) {
+            if (size.isEmpty() || size.length() > 16) {
                 throw new Bad(400, "malformed chunk size");
             }
-            int n = 0;
+            long n = 0;
             for (int i = 0; i < size.length(); i++) {
                 int d = Character.digit(size.charAt(i), 16);
                 if (d < 0 || size.charAt(i) > 'f') {
                     throw new Bad(400, "malformed chunk size");
                 }
                 n = n * 16 + d;
+                if (n > MOST_CHUNK) {
+                    // Also what would not fit a number; nobody's chunk is so large, its end never comes.
+                    throw new Bad(413, "chunk too large");
+                }
             }
             for (int i = 0; n == 0 && !line(MOST_HEAD, 431, "trailer").isEmpty(); i++) {
                 if (i >= MOST_HEADERS) {
                     throw new Bad(431, "trailers too large");
                 }
             }
-            return n;
+            return (int) n;
         }
 
         private void chunkEnd() throws IOException {
@@ -339,7 +356,7 @@
                     byte b = buf[pos++];
                     event.put(b);
                     if (b == '\n' && event.endsBlank()) {
-                        to.event(event.take());
+                        to.event(checked(event));
                     }
                 }
                 if (event.length() > MOST_BODY) {
@@ -352,8 +369,22 @@
                 }
             }
             if (event.length() > 0) {
-                to.event(event.take());
+                to.event(checked(event));
+            }
+        }
+
+        /** Guards against a chunk whose size is wrong: the framing that it swallowed is no event. */
+        private static byte[] checked(Output event) throws Bad {
+            byte[] b = event.take();
+            for (int i = 0; i < b.length; i++) {
+                if (b[i] == ':') {
+                    return b;
+                }
+                if (b[i] < ' ') {
+                    break;
+                }
             }
+            throw new Bad(502, "malformed event");
         }
 
         /** One line of a streamed chunked body after another, until the last chunk. */
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -153,8 +153,10 @@
         InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
         Peer d = peers.computeIfAbsent("d", k -> new Peer());
         d.server = new ServerSocket(0, 8, any.getAddress());
+        Mailbox.Crew crew = new Mailbox.Crew();
         Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), true, 64,
-                clock, log);
+                clock, log, crew);
+        engines.start();
         discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), site, engines, clock,
                 log);
         ModuleActor actor = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
@@ -162,7 +164,8 @@
         Front front = messages ? new MessagesFront(site, new MessagesFront.Options("", "chat", "",
                 Map.of()), null)
                 : new PlatformFront(site);
-        clients = new Clients(any, front, actor, clock, log, discovery::known, log::counters, most);
+        clients = new Clients(any, front, actor, clock, log, discovery::known, log::counters, most,
+                crew);
         clients.start();
         log.start();
         discovery.start(actor, ("{\"revision\":1,\"complete\":true,\"members\":[" + known + "]}").getBytes());
@@ -242,7 +245,7 @@
             }
             // Events of so many bytes in all, to a party that may end the connection meanwhile.
             case ">x" -> {
-                byte[] event = ("8000\r\n" + "x".repeat(0x7ffe)
+                byte[] event = ("8000\r\ndata:" + "x".repeat(0x7ff9)
                         + "\n\n\r\n").getBytes(StandardCharsets.UTF_8);
                 try {
                     for (int sent = 0; sent < Integer.parseInt(rest); sent += event.length) {
--- a/src/test/java/magpiehub/core/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -242,6 +242,25 @@
         assertEquals("failed", b.finals.get(id), "and may not be refused");
     }
 
+    @Test
+    void aLoneResetEjectsNobodyButTwoDo() {
+        Bench b = new Bench(Bench.settings(1)).list(names(8));
+        String home = b.serve(0, 7);
+        b.outcome(b.ask(0, 7), Outcome.RESET);
+        assertEquals(home, b.serve(0, 7), "it may have been the request's fault");
+        b.outcome(b.ask(0, 7), Outcome.RESET);
+        assertNotEquals(home, b.where(b.ask(0, 7)), "twice in a short time");
+    }
+
+    @Test
+    void whatHasGoneIsForgotten() {
+        Bench b = new Bench(Bench.settings(1)).list("a", "b");
+        String home = b.serve(0, 7);
+        b.node.list(b.now, ListKind.CHANGES, List.of(Bench.server(home, State.DEAD, 0)));
+        assertNotEquals(home, b.serve(0, 7));
+        assertEquals(1, b.node.known());
+    }
+
     private static Contract.Server inCell(String id, int cell) {
         return new Contract.Server(id, 0, 0, cell, State.LIVE, 1, 0);
     }
--- a/src/test/java/magpiehub/net/EnginesTest.java
+++ b/src/test/java/magpiehub/net/EnginesTest.java
@@ -59,7 +59,8 @@
             }
         };
         try (ServerSocket engine = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            Engines engines = new Engines(250_000, 30_000_000, true, 8, Mailbox.Clock.SYSTEM, log);
+            Engines engines = new Engines(250_000, 30_000_000, true, 8, Mailbox.Clock.SYSTEM, log,
+                    new Mailbox.Crew());
             ModuleActor module = new ModuleActor(site.settings(), 7, Mailbox.Clock.SYSTEM, engines,
                     roster, log);
             engines.module(module);
@@ -67,7 +68,7 @@
             t.start();
             module.list(ListKind.SAVED, List.of(new Server("e", 0, 0, 0, State.LIVE, 1, 0)));
             // The list's actor has heard of the drain; its word to the module is still under way.
-            engines.place("e", "127.0.0.1:" + engine.getLocalPort(), false);
+            engines.place("e", "127.0.0.1:" + engine.getLocalPort(), false, false);
             String text = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: chat\r\n"
                     + "X-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
             Http.Input in = new Http.Input(new java.io.ByteArrayInputStream(text.getBytes()),
