Close every answer's connection when there are many, and give silence no thread

Lines at fault: Clients.begin, whose path for GET /up kept connections open, and start, which gave silent connections a reader each.

- When there are many clients, every answer is its connection's last, and it waits 0.2 s, not 1 s, for the client's own end.
- A connection that comes when there are many gets its reader with its first byte.
- An answer that can't be read is an outcome of its own (SPOILT), which counts half against its engine: it comes from any engine and shows that this one is there.

--- a/src/main/java/magpiehub/core/Contract.java
+++ b/src/main/java/magpiehub/core/Contract.java
@@ -28,7 +28,8 @@
     /** How one attempt ended. */
     public enum Outcome {
         OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), MOOT(true);
+        CANCELLED(false), MOOT(true),
+        /** An answer came that can't be read. */ SPOILT(false);
 
         /** True if the outcome proves that the attempt never ran. */
         public final boolean neverRan;
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -65,6 +65,8 @@
     private static final double BREAKS = 1.5;
     private static final double BREAK_TAU = 4_000_000;
     private static final double BREAK_SERVED = 0.8;
+    /** An answer that can't be read may come from any replica, and shows that this one is there. */
+    private static final double SPOILT_COUNTS = 0.5;
     /** How long a replica that said 'full' is passed over (us), before jitter. */
     private static final long FULL_PAUSE = 300_000;
     /** Retry budget: earned per request, most saved, and the cost of an error that came at once. */
@@ -746,7 +748,8 @@
                 r.busyUntil = now + (long) (FULL_PAUSE * (0.5 + random()));
             }
             case ERROR -> eject(r, false);
-            case RESET -> broken(r);
+            case RESET -> broken(r, 1);
+            case SPOILT -> broken(r, SPOILT_COUNTS);
             case CONNECT_FAILED -> unreachable(r);
             case TIMEOUT -> {
                 bad++;
@@ -763,8 +766,8 @@
 
     /** One break tells of the request or of the wire as often as of the replica; two soon after each other,
      *  with little served in between, tell of the replica. */
-    private void broken(Replica r) {
-        r.breaks = r.breaks * Math.exp((r.brokeAt - now) / BREAK_TAU) + 1;
+    private void broken(Replica r, double counts) {
+        r.breaks = r.breaks * Math.exp((r.brokeAt - now) / BREAK_TAU) + counts;
         r.brokeAt = now;
         if (r.breaks >= BREAKS) { eject(r, false); }
     }
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -36,6 +37,7 @@
     /** How long a connection that is being closed waits for its client's own end, so that the last answer
      *  is not destroyed by a reset (us). */
     private static final long LINGER = 1_000_000;
+    private static final long LINGER_OF_MANY = 200_000;
     /** A client that has connected is to have sent its first request by then, whether it says nothing, a head
      *  without end or half a request (us): it is owed an error within 3 s. */
     private static final long FIRST_REQUEST = 2_500_000;
@@ -48,6 +50,7 @@
     private static final long TICK = 50_000;
     /** When there are many, clients that have not sent a byte are let go after so long (us), and at the limit
      *  all that have not sent a request yet after so short a time. */
+    private static final int GLANCE_MS = 5;
     private static final long SILENT = 1_000_000;
     private static final long SILENT_AT_LIMIT = 300_000;
     private static final int MOST_DISCARDED = 1 << 20;
@@ -66,6 +69,8 @@
     private final ServerSocket server = new ServerSocket();
     private final Mailbox.Crew crew;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+    /** Connections without a reader; they are among the open ones too. */
+    private final LinkedBlockingQueue<Connection> arrivals = new LinkedBlockingQueue<>();
     /** Bytes of request bodies read or being read, and not yet answered or begun. */
     private final AtomicLong inHand = new AtomicLong();
     private volatile boolean closing;
@@ -93,6 +98,25 @@
     public void start() {
         Mailbox.thread("accept", this::accept).start();
         Mailbox.thread("client-times", this::times).start();
+        Mailbox.thread("greeter", this::greet).start();
+    }
+
+    /** Guards against a thread for each client that says nothing: when there are many, a connection gets its
+     *  reader once its first byte is here. */
+    private void greet() {
+        List<Connection> silent = new ArrayList<>();
+        try {
+            while (true) {
+                if (silent.isEmpty()) {
+                    silent.add(arrivals.take());
+                }
+                arrivals.drainTo(silent);
+                silent.removeIf(Connection::greeted);
+                Thread.sleep(GLANCE_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Tells connections whose time has come, however many there are. */
@@ -318,6 +342,14 @@
         void start() {
             open.add(this);
             mailbox.attach(crew, this::turn);
+            if (!many()) {
+                startReader();
+            } else if (!greeted()) {
+                arrivals.add(this);
+            }
+        }
+
+        private void startReader() {
             try {
                 Mailbox.thread("client-reader", this::read).start();
             } catch (OutOfMemoryError e) {
@@ -326,6 +358,21 @@
             }
         }
 
+        /** Whether there is nothing more to wait for: its first byte is here, or it has ended. */
+        boolean greeted() {
+            try {
+                if (!socket.isClosed() && socket.getInputStream().available() == 0) {
+                    return false;
+                }
+                if (!socket.isClosed()) {
+                    startReader();
+                }
+            } catch (IOException | OutOfMemoryError e) {
+                mailbox.post(new Left());
+            }
+            return true;
+        }
+
         /** What does not fit ends this client: it does not read, and no event may be left out. */
         void post(Object message, int bytes) {
             if (!mailbox.post(message, bytes)) {
@@ -432,7 +479,7 @@
                 out.flush(to);
                 if (lingering && !socket.isOutputShutdown()) {
                     socket.shutdownOutput();
-                    due = clock.micros() + LINGER;
+                    due = clock.micros() + (many() ? LINGER_OF_MANY : LINGER);
                 } else if (asked && !lingering) {
                     due = Long.MAX_VALUE;
                 }
@@ -582,7 +629,7 @@
         private void begin(Arrived a) {
             room = a.room;
             quietSince = BUSY;
-            lastAnswer |= a.head.closes();
+            lastAnswer |= a.head.closes() || many();
             boolean close = last();
             String path = a.head.start[1];
             if (path.equals("/up") || path.equals("/counters")) {
@@ -601,8 +648,6 @@
                 over(true);
                 return;
             }
-            lastAnswer |= many();
-            close = last();
             Front.Call call;
             try {
                 call = front.read(a.head, a.body, a.at);
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -227,7 +228,7 @@
                 sent = true;
                 Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
                 o = !in.await() ? Outcome.RESET : in.head(false).status() == 200 ? Outcome.OK : Outcome.FULL;
-            } catch (java.net.SocketTimeoutException e) {
+            } catch (SocketTimeoutException e) {
                 o = sent ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
             } catch (IOException | RuntimeException e) {
                 o = sent ? Outcome.RESET : Outcome.CONNECT_FAILED;
@@ -319,7 +320,7 @@
     private record End(Socket from, boolean reusable) {
     }
 
-    private record Broken(Socket from, String why) {
+    private record Broken(Socket from, String why, boolean spoilt) {
     }
 
     private final class Connection {
@@ -384,7 +385,7 @@
                 retire();
             } else if (begun && outcome == null) {
                 journal.count("silent_streams");
-                broke("silent");
+                broke("silent", false);
             }
         }
 
@@ -412,13 +413,13 @@
                 } else if (m instanceof End e && e.from == socket) {
                     end(e);
                 } else if (m instanceof Broken b && b.from == socket) {
-                    broke(b.why);
+                    broke(b.why, b.spoilt);
                 }
             } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
                 // Ends this attempt's work, answers given: the module hears of a reset.
                 journal.count("engine_exceptions");
                 journal.log("engine-exception", "engine", server, "error", e.toString());
-                broke(e.toString());
+                broke(e.toString(), false);
             }
         }
 
@@ -598,7 +599,7 @@
             finish();
         }
 
-        private void broke(String why) {
+        private void broke(String why, boolean spoilt) {
             if (lease == null) {
                 retire();
                 return;
@@ -615,10 +616,11 @@
                 return;
             }
             journal.log("engine-broke", "engine", server, "begun", Boolean.toString(begun), "why", why);
+            Outcome o = spoilt ? Outcome.SPOILT : Outcome.RESET;
             if (!begun) {
-                fail(Outcome.RESET);
+                fail(o);
             } else {
-                outcome = Outcome.RESET;
+                outcome = o;
                 finish();
             }
         }
@@ -677,6 +679,7 @@
         // ---- The reader -------------------------------------------------------------------------------
         private void read(Socket s, String to) {
             String why = "ended";
+            boolean spoilt = false;
             try {
                 s.setTcpNoDelay(true);
                 s.connect(Config.socketAddress(to), connectTimeoutMs);
@@ -713,10 +716,14 @@
                                 !h.closes() && in.empty()));
                     }
                 }
+            } catch (Http.Bad | SocketTimeoutException e) {
+                // Connecting may time out too, and is told by its own state.
+                why = e.getMessage();
+                spoilt = true;
             } catch (IOException | InterruptedException | RuntimeException | OutOfMemoryError e) {
                 why = e.toString();
             }
-            mailbox.post(new Broken(s, why));
+            mailbox.post(new Broken(s, why, spoilt));
         }
     }
 
--- a/src/test/java/magpiehub/core/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -250,6 +250,11 @@
         assertEquals(home, b.serve(0, 7), "it may have been the request's fault");
         b.outcome(b.ask(0, 7), Outcome.RESET);
         assertNotEquals(home, b.where(b.ask(0, 7)), "twice in a short time");
+        Bench c = new Bench(Bench.settings(1)).list(names(8));
+        home = c.serve(0, 7);
+        c.outcome(c.ask(0, 7), Outcome.SPOILT);
+        c.outcome(c.ask(0, 7), Outcome.SPOILT);
+        assertEquals(home, c.serve(0, 7), "what can't be read comes from any replica");
     }
 
     @Test
