After SIGTERM serve kept connections for 2 s, and let go of the rest at 3 s

Main.stop closed every connection with its answer from the first moment, and waited with the rest until 3.4 s, 0.1 s before the end. Clients keep using the connections that they have for as long as these are open.

- Connections are kept until 2 s after SIGTERM; at 3 s running streams move and what has not begun gets its answer.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -27,11 +27,12 @@
 public final class Main {
     /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
     private static final int OTHER_DESCRIPTORS = 64;
-    /** After SIGTERM: how long new connections are accepted and idle ones kept (ms). */
+    /** After SIGTERM: how long new connections are accepted, until when connections are kept that clients
+     *  have (another router may be down as well), and when what is still held is let go of, in time before
+     *  the process is killed (ms). */
     private static final long HAND_OVER_MS = 600;
-
-    /** After SIGTERM: when streams that still run are ended in order, where clients ask for the rest (ms). */
-    private static final long MOVE_MS = 3_400;
+    private static final long KEEP_MS = 2_000;
+    private static final long LET_GO_MS = 3_000;
     /** Connections for the messages front, where it is on. */
     private static final int MESSAGES_CLIENTS = 64;
 
@@ -45,7 +46,7 @@
         Mailbox<Object> hangups = new Mailbox<>(Mailbox.Clock.SYSTEM, 1);
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> hangups.post(s));
         if (args.length == 1 && args[0].equals("adapter")) {
-            WarmUp.run();
+            WarmUp.run(WarmUp.MANY);
             System.exit(new Drill(System.in, System.out, System.err).run());
         } else if (args.length == 1 && args[0].equals("serve")) {
             try {
@@ -101,7 +102,7 @@
         boolean resume = r.site().settings().resume();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log, store,
                 r.name())));
-        WarmUp.run();
+        WarmUp.run(WarmUp.FEW);
         platform.warm();
         warm.set(true);
         // The port that was given, where the configuration leaves it open with 0.
@@ -142,24 +143,25 @@
         }
     }
 
-    /** SIGTERM: new connections for the hand-over, then only what is held, then the counters and the end. */
+    /** SIGTERM: new connections for the hand-over, then those that clients have, then only what is held, then
+     *  the counters and the end. */
     private static void stop(List<Clients> fronts, ModuleActor module, boolean resume,
             Log log, Store store, String name) {
         try {
             log.log("stopping", "held", Integer.toString(module.held()));
-            fronts.forEach(Clients::announceClosing);
             if (store != null) {
                 store.put("router/" + name, "stopping");
             }
-            Thread.sleep(HAND_OVER_MS);
-            for (Clients c : fronts) {
-                c.stopAccepting();
-            }
-            for (long ms = HAND_OVER_MS; fronts.stream().anyMatch(c -> c.open() > 0); ms += 5) {
+            for (long ms = 0; ms <= HAND_OVER_MS || fronts.stream().anyMatch(c -> c.open() > 0); ms += 5) {
                 Thread.sleep(5);
-                if (resume && ms == MOVE_MS) {
-                    // Their clients ask for the rest elsewhere before this process is killed.
-                    module.moveAll();
+                if (ms == HAND_OVER_MS) {
+                    for (Clients c : fronts) {
+                        c.stopAccepting();
+                    }
+                } else if (ms == KEEP_MS) {
+                    fronts.forEach(Clients::closeIdle);
+                } else if (ms == LET_GO_MS) {
+                    module.letGo(resume);
                 }
             }
         } catch (IOException | InterruptedException e) {
--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -147,6 +147,7 @@
     private final int mostHeld;
     private final long comeBack;
     private final Rules rules;
+    private final Settings settings;
     private long order;
     private long now;
     private volatile int held;
@@ -154,6 +155,7 @@
     /** An actor over ports; it does nothing until {@link #turn} or {@link #run} is called. */
     public ModuleActor(Settings settings, long seed, Mailbox.Clock clock, Fleet fleet, Roster roster,
             Journal journal) {
+        this.settings = settings;
         this.clock = clock;
         this.fleet = fleet;
         this.roster = roster;
@@ -250,11 +252,22 @@
         mailbox.post(what);
     }
 
-    /** Ends every running stream in order, where clients ask for the rest. */
-    public void moveAll() {
+    /** The last that this process can do for what it holds: running streams are ended in order, where
+     *  {@code resume} says that clients ask for the rest, and what has not begun gets its answer. */
+    public void letGo(boolean resume) {
         mailbox.post(() -> {
             for (Open o : List.copyOf(requests.values())) {
-                if (o.begun != null) {
+                if (o.begun == null) {
+                    boolean pure = settings.classes().get(o.request.cls()).effect() == Contract.Effect.PURE;
+                    o.attempts.forEach(this::stop);
+                    answer(o, pure ? "refused" : "failed");
+                    if (pure) {
+                        o.client.refuse(comeBack);
+                    } else {
+                        o.client.fail("stopping");
+                    }
+                    rules.abandoned(now, o.request.id());
+                } else if (resume) {
                     new Decisions().move(o.request.id());
                 }
             }
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -174,16 +174,16 @@
     }
 
     /** Each connection costs a thread, and each thread costs CPU time whenever the process is held to its
-     *  share: from an eighth of the budget on, an answer is its connection's last. */
+     *  share: from a third of the budget on, an answer is its connection's last. */
     private boolean many() {
-        return open.size() > most / 8;
+        return open.size() > most / 3;
     }
 
     /** Guards against clients that ask once and stay, or connect and say nothing. When there are many,
      *  connections that have been idle for long enough go, longest idle first, and then those that have said
      *  nothing; at nine tenths of the budget all whose first request is outstanding, oldest first. */
     private void makeRoom() {
-        int over = open.size() - most / 8;
+        int over = open.size() - most / 3;
         if (over <= 0) {
             return;
         }
@@ -211,14 +211,14 @@
         return n;
     }
 
-    /** From now on each answer is its connection's last. New connections are still accepted. */
-    public void announceClosing() {
-        closing = true;
-    }
-
-    /** Accepts no more and closes what is idle; requests in hand go on. */
+    /** Accepts no more; connections that clients have are served on. */
     public void stopAccepting() throws IOException {
         server.close();
+    }
+
+    /** Closes what is idle, and the rest with its answer; requests in hand go on. */
+    public void closeIdle() {
+        closing = true;
         for (Connection c : open) {
             c.mailbox.post(new CloseIfIdle());
         }
