--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -109,8 +109,8 @@
     /** A request taken and not yet over. */
     private static final class Open {
         final Request request;
-        final Client client;
-        /** Let go as soon as it is over: timers hold the rest of this until the deadline. */
+        /** Both are let go of as soon as it is over: timers hold the rest of this until the deadline. */
+        Client client;
         volatile Object work;
         final List<Attempt> attempts = new ArrayList<>(2);
         Attempt begun;
@@ -260,11 +260,11 @@
                 if (o.begun == null) {
                     boolean pure = settings.classes().get(o.request.cls()).effect() == Contract.Effect.PURE;
                     o.attempts.forEach(this::stop);
-                    answer(o, pure ? "refused" : "failed");
+                    Client client = answer(o, pure ? "refused" : "failed");
                     if (pure) {
-                        o.client.refuse(comeBack);
+                        client.refuse(comeBack);
                     } else {
-                        o.client.fail("stopping");
+                        client.fail("stopping");
                     }
                     rules.abandoned(now, o.request.id());
                 } else if (resume) {
@@ -296,8 +296,7 @@
             if (!o.answered && o.begun == null) {
                 journal.count("answered_by_backstop");
                 o.attempts.forEach(this::stop);
-                answer(o, "failed");
-                client.fail("deadline");
+                answer(o, "failed").fail("deadline");
                 rules.abandoned(now, r.id());
             }
         });
@@ -319,6 +318,7 @@
             return;
         }
         a.over = true;
+        a.handle = NOTHING; // Its connection serves others, or is gone: timers are not to hold it.
         Open o = a.open;
         boolean settled = o.answered || o.begun == a || outcome == Outcome.OK;
         journal.count("attempt_" + outcome.name().toLowerCase(Locale.ROOT));
@@ -345,11 +345,15 @@
         }
     }
 
-    private void answer(Open o, String how) {
+    /** Ends a request; returns its client for the one last word, if it is owed one. */
+    private Client answer(Open o, String how) {
+        Client client = o.client;
         o.answered = true;
         o.work = null;
+        o.client = null;
         requests.remove(o.request.id());
         journal.count("answered_" + how);
+        return client;
     }
 
     /** Closes an attempt's connection. The outcome follows in a turn of its own, never inside an action. */
@@ -409,8 +413,7 @@
             Open o = requests.get(id);
             if (o != null && o.begun == null) {
                 o.attempts.forEach(ModuleActor.this::stop);
-                answer(o, "refused");
-                o.client.refuse(retryAfter > 0 ? retryAfter : comeBack);
+                answer(o, "refused").refuse(retryAfter > 0 ? retryAfter : comeBack);
             }
         }
 
@@ -419,8 +422,7 @@
             Open o = requests.get(id);
             if (o != null && o.begun == null) {
                 o.attempts.forEach(ModuleActor.this::stop);
-                answer(o, "failed");
-                o.client.fail("given up");
+                answer(o, "failed").fail("given up");
             }
         }
 
@@ -429,8 +431,7 @@
             Open o = requests.get(id);
             if (o != null && o.begun != null) {
                 o.begun.handle.abort();
-                answer(o, "moved");
-                o.client.move();
+                answer(o, "moved").move();
                 ended(o.begun, Outcome.CANCELLED, -1);
             }
         }
