--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -540,12 +540,8 @@
 
     /** May this request go there at all? Effects, earlier tries, and the budget of a cold replica. */
     private boolean allowed(Held h, Replica r) {
-        boolean spoilt = false;
         for (Attempt a : h.attempts) {
-            // An answer that can't be read is no fault of the replica's, and it has the prompt's tokens now:
-            // it may be asked once more.
-            if (a.replica == r && (!a.spoilt || spoilt)) { return false; }
-            spoilt |= a.replica == r;
+            if (a.replica == r) { return false; }
         }
         return maySend(h, r) && coldAllows(r);
     }
@@ -753,10 +749,7 @@
             }
             case ERROR -> eject(r, false);
             case RESET -> broken(r, 1);
-            case SPOILT -> {
-                a.spoilt = true;
-                broken(r, SPOILT_COUNTS);
-            }
+            case SPOILT -> broken(r, SPOILT_COUNTS);
             case CONNECT_FAILED -> unreachable(r);
             case TIMEOUT -> {
                 bad++;
--- a/src/main/java/magpiehub/core/State.java
+++ b/src/main/java/magpiehub/core/State.java
@@ -109,7 +109,6 @@
         boolean begun;
         boolean done;
         boolean trial;
-        boolean spoilt;
 
         Attempt(Replica replica, long sentAt) {
             this.replica = replica;
