Give the list of engines one view, with doubts and endpoints' waits beside it

The list that every decision stands on was one actor's idea: its watching, its reading of entries and what it took to be current were one piece, for one protocol.

registry.View takes whole lists, changes and words such as "compacted", and gives one list with a version and the exact changes since the last; it knows a source's history from its position in it. Membership doubts whole lists that lose much of the fleet and engines that flap; Endpoints keeps the waits between tries. None does I/O or reads a clock.

--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -282,35 +282,7 @@
         }
         List<Entry> list = new ArrayList<>();
         while (p.nextToken() == JsonToken.START_OBJECT) {
-            String id = null;
-            String address = null;
-            State state = State.LIVE;
-            int zone = 0;
-            int kind = 0;
-            int cell = 0;
-            double weight = 1;
-            double online = 0;
-            while (p.nextToken() == JsonToken.FIELD_NAME) {
-                String name = p.currentName();
-                String field = names.field(name);
-                p.nextToken();
-                switch (field == null ? "" : field) {
-                    case "id" -> id = text(p, name);
-                    case "address" -> address = text(p, name);
-                    case "state" -> state = names.state(text(p, name));
-                    case "zone" -> zone = names.number(field, p);
-                    case "kind" -> kind = names.number(field, p);
-                    case "cell" -> cell = (int) number(p, name);
-                    case "weight" -> weight = number(p, name);
-                    case "since" -> online = number(p, name);
-                    default -> p.skipChildren();
-                }
-            }
-            if (id == null) {
-                throw new Malformed("an entry has no id");
-            }
-            list.add(new Entry(new Server(id, zone, kind, cell, state, weight, names.since(online)),
-                    address));
+            list.add(entry(p, names));
         }
         if (p.currentToken() != JsonToken.END_ARRAY) {
             throw new Malformed("must hold objects only");
@@ -318,6 +290,38 @@
         return list;
     }
 
+    /** The entry that the parser stands at the start of. */
+    public static Entry entry(JsonParser p, Names names) throws IOException {
+        String id = null;
+        String address = null;
+        State state = State.LIVE;
+        int zone = 0;
+        int kind = 0;
+        int cell = 0;
+        double weight = 1;
+        double online = 0;
+        while (p.nextToken() == JsonToken.FIELD_NAME) {
+            String name = p.currentName();
+            String field = names.field(name);
+            p.nextToken();
+            switch (field == null ? "" : field) {
+                case "id" -> id = text(p, name);
+                case "address" -> address = text(p, name);
+                case "state" -> state = names.state(text(p, name));
+                case "zone" -> zone = names.number(field, p);
+                case "kind" -> kind = names.number(field, p);
+                case "cell" -> cell = (int) number(p, name);
+                case "weight" -> weight = number(p, name);
+                case "since" -> online = number(p, name);
+                default -> p.skipChildren();
+            }
+        }
+        if (id == null) {
+            throw new Malformed("an entry has no id");
+        }
+        return new Entry(new Server(id, zone, kind, cell, state, weight, names.since(online)), address);
+    }
+
     public static String text(JsonParser p, String name) throws IOException {
         if (p.currentToken() != JsonToken.VALUE_STRING) {
             throw new Malformed(name + " must be a text");
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -668,7 +668,7 @@
         }
     }
 
-    static void closeQuietly(Socket s) {
+    public static void closeQuietly(Socket s) {
         try {
             s.close();
         } catch (IOException e) {
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -105,7 +105,7 @@
     }
 
     /** Discovery's word on one engine, before the module hears of it. Any thread. */
-    void place(String id, String hostPort, boolean takes, boolean gone) {
+    public void place(String id, String hostPort, boolean takes, boolean gone) {
         if (gone) {
             // Guards against growing with each engine that there ever was.
             places.remove(id);
@@ -117,7 +117,7 @@
     }
 
     /** Engines that a whole list does not name are gone. */
-    void only(Set<String> ids) {
+    public void only(Set<String> ids) {
         places.keySet().retainAll(ids);
     }
 
--- a/src/main/java/magpiehub/net/Discovery.java
+++ b/src/main/java/magpiehub/registry/Discovery.java
@@ -1,27 +1,28 @@
-package magpiehub.net;
+package magpiehub.registry;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
-import magpiehub.core.Contract.Server;
 import magpiehub.core.Contract.State;
 import magpiehub.core.Mailbox;
 import magpiehub.core.ModuleActor;
+import magpiehub.net.Clients;
+import magpiehub.net.Engines;
+import magpiehub.net.Http;
 
 /**
- * The list's actor: it asks discovery when the module says so, one watch and one call at a time, and posts
- * what comes, in the order of its revisions. It owns the revision, the address that it asks, and the meaning
- * of an entry's fields. It must never ask again by itself (the module backs off) but for the one watch that
- * opens a new address, take silence for peace, apply lists of two watches, or go back to an older list.
+ * The platform's discovery: it asks when the module says so, one watch and one call at a time, and hands what
+ * comes to a {@link View}, which keeps the order of revisions. It owns the address that it asks. It must
+ * never ask again by itself (the module backs off) but for the one watch that opens a new address, take
+ * silence for peace, apply lists of two watches, or doubt the list: here it counts as it stands.
  */
-public final class Discovery implements ModuleActor.Roster {
+public final class Discovery implements Source {
     /** Discovery writes at least an empty line each 2 s: after this long the watch has failed (us). What it
      *  had to tell counts as told 6 s later, so a watch that has died unseen is to end before. */
     private static final long SILENCE = 4_500_000;
@@ -60,34 +61,31 @@
     }
 
     private String address;
-    private final Config.Site site;
+    private final Entries names;
     private final Engines engines;
     private final Mailbox.Clock clock;
     private final ModuleActor.Journal journal;
     private final Mailbox<Object> mailbox;
-    /** Monotonic time less Unix time (us), taken once: entries told twice must give the same start. */
-    private final long offset;
+    private final View view = new View();
     private ModuleActor module;
     private Call watch;
     /** The watch on the address before: it counts until the one on the new address has told its first. */
     private Call former;
     private Call fetch;
-    private long revision = -1;
     private volatile boolean known;
 
     /** An actor for discovery at an address. */
     public Discovery(String address, Config.Site site, Engines engines, Mailbox.Clock clock,
             ModuleActor.Journal journal) {
         this.address = address;
-        this.site = site;
+        this.names = Entries.platform(site, clock.micros());
         this.engines = engines;
         this.clock = clock;
         this.journal = journal;
         this.mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
-        this.offset = clock.micros() - System.currentTimeMillis() * 1000;
     }
 
-    /** Names the module's actor and gives it the list as this router last had it. */
+    @Override
     public void start(ModuleActor actor, byte[] saved) {
         module = actor;
         if (saved != null) {
@@ -100,7 +98,7 @@
         Mailbox.thread("discovery", this::run).start();
     }
 
-    /** Whether discovery has told the list since the start. */
+    @Override
     public boolean known() {
         return known;
     }
@@ -201,7 +199,8 @@
         }
         journal.count("discovery_calls");
         String target = "/discovery/hosts" + (!forWatch ? ""
-                : "?follow=1" + (revision >= 0 && former == null ? "&since=" + revision : ""));
+                : "?follow=1" + (view.position().number() >= 0 && former == null
+                        ? "&since=" + view.position().number() : ""));
         Mailbox.thread("discovery-reader", () -> read(c, target)).start();
     }
 
@@ -218,7 +217,7 @@
             } else if (l.from.first) {
                 // A heartbeat alone says that nothing has changed since the revision asked from.
                 l.from.first = false;
-                told(ListKind.CHANGES, List.of());
+                tell(ListKind.CHANGES, List.of());
             }
         } catch (IOException | Config.Malformed e) {
             journal.log("list-unreadable", "error", e.getMessage());
@@ -247,9 +246,9 @@
         module.list(ListKind.ERROR, List.of());
     }
 
-    private void told(ListKind kind, List<Server> servers) {
-        known = true;
-        module.list(kind, servers);
+    private void tell(ListKind kind, List<Config.Entry> entries) {
+        known |= kind != ListKind.SAVED;
+        Source.tell(kind, entries, engines, module);
     }
 
     /** Takes a list or a change over, unless a newer one has been. */
@@ -272,72 +271,34 @@
                 }
             }
         }
+        View.Position to = new View.Position("", 0, number);
+        List<View.Item> items = new ArrayList<>(entries.size());
+        for (Config.Entry e : entries) {
+            items.add(e.server().state() == State.DEAD ? View.Item.removed(e.server().id(), 0)
+                    : View.Item.of(e.server().id(), 0, e));
+        }
+        if (saved) {
+            view.saved(items, to);
+            tell(ListKind.SAVED, view.entries());
+            return;
+        }
         // A whole list that opens a watch is taken as it is: discovery may have begun its count anew.
-        if (number < revision && !(complete && first)) {
+        View.Result r = complete ? view.whole(to, null, items, first) : view.changes(to, items);
+        if (r.verdict() != View.Verdict.APPLIED) {
             journal.count("old_revisions");
             return;
         }
-        revision = number;
         if (complete) {
-            Set<String> ids = new HashSet<>();
-            entries.forEach(e -> ids.add(e.server().id()));
-            engines.only(ids);
-        }
-        for (Config.Entry e : entries) {
-            engines.place(e.server().id(), e.address(), e.server().state() == State.LIVE,
-                    e.server().state() == State.DEAD);
-        }
-        List<Server> servers = entries.stream().map(Config.Entry::server).toList();
-        if (saved) {
-            module.list(ListKind.SAVED, servers);
+            tell(ListKind.COMPLETE, view.entries());
         } else {
-            told(complete ? ListKind.COMPLETE : ListKind.CHANGES, servers);
-            journal.log("list", "revision", Long.toString(number), "complete", Boolean.toString(complete),
-                    "entries", Integer.toString(servers.size()));
+            List<Config.Entry> changed = new ArrayList<>(r.delta().put());
+            r.delta().gone().forEach(id -> changed.add(Source.gone(id)));
+            tell(ListKind.CHANGES, changed);
         }
+        journal.log("list", "revision", Long.toString(number), "complete", Boolean.toString(complete),
+                "entries", Integer.toString(entries.size()));
     }
 
-    private final Config.Names names = new Config.Names() {
-        @Override
-        public String field(String name) {
-            return switch (name) {
-                case "id" -> "id";
-                case "host_port" -> "address";
-                case "locality" -> "zone";
-                case "flavor" -> "kind";
-                case "cell" -> "cell";
-                case "phase" -> "state";
-                case "size" -> "weight";
-                case "up_since_ms" -> "since";
-                default -> null;
-            };
-        }
-
-        @Override
-        public int number(String field, JsonParser p) throws IOException {
-            if (p.currentToken().isNumeric()) {
-                return p.getIntValue();
-            }
-            return (field.equals("zone") ? site.zones() : site.kinds()).indexOf(Config.text(p, field));
-        }
-
-        @Override
-        public State state(String word) {
-            return switch (word) {
-                case "Ready" -> State.LIVE;
-                case "Terminating" -> State.DRAINING;
-                case "Gone" -> State.DEAD;
-                // Guards against sending work to an engine in a phase that this program does not know.
-                default -> State.DRAINING;
-            };
-        }
-
-        @Override
-        public long since(double ms) {
-            return ms <= 0 ? 0 : Math.max(1, Math.round(ms * 1000) + offset);
-        }
-    };
-
     private static void close(Call c) {
         if (c != null) {
             Clients.closeQuietly(c.socket);
--- /dev/null
+++ b/src/main/java/magpiehub/registry/Endpoints.java
@@ -0,0 +1,110 @@
+package magpiehub.registry;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+
+/**
+ * Which of a registry's endpoints is asked next, and when. It is a plain state machine: it owns the health
+ * and the waits of the endpoints. It must never do I/O or read a clock. The waits are decorrelated jitter:
+ * each is drawn between the base and three times the one before, up to a cap, so that routers which lost a
+ * registry together do not come back together. The first wait after a link that worked is drawn from the
+ * whole spread, for the same reason: at that time all of them have waited equally long.
+ */
+public final class Endpoints {
+    /** Waits in microseconds: {@code base} and {@code cap} for endpoints that fail, {@code spread} for links
+     *  that were lost. */
+    public record Options(long base, long cap, long spread) {
+    }
+
+    private final Options options;
+    private final long[] readyAt;
+    private final long[] wait;
+    private final int[] failures;
+    private int current;
+    private final SplittableRandom random;
+
+    /** So many endpoints, none asked yet. */
+    public Endpoints(int count, Options options, long seed) {
+        this.options = options;
+        random = new SplittableRandom(seed);
+        readyAt = new long[count];
+        wait = new long[count];
+        failures = new int[count];
+        Arrays.fill(readyAt, Long.MIN_VALUE);
+        // Routers that start together are spread over the endpoints.
+        current = (int) Math.floorMod(random(Long.MAX_VALUE), (long) count);
+    }
+
+    /** The endpoint to ask now: the one in use while it is ready, else the ready one that failed least; -1 if
+     *  none is ready. */
+    public int pick(long now) {
+        int best = -1;
+        for (int k = 0; k < readyAt.length; k++) {
+            int i = (current + k) % readyAt.length;
+            if (readyAt[i] <= now && (best < 0 || failures[i] < failures[best])) {
+                best = i;
+            }
+        }
+        if (best >= 0) {
+            current = best;
+        }
+        return best;
+    }
+
+    /** An endpoint for a second word: another one if any is ready, else the same; -1 if none is. */
+    public int other(long now) {
+        for (int k = 1; k <= readyAt.length; k++) {
+            int i = (current + k) % readyAt.length;
+            if (readyAt[i] <= now && failures[i] == 0) {
+                return i;
+            }
+        }
+        return pick(now);
+    }
+
+    /** When an endpoint will be ready (us). */
+    public long readyAt() {
+        return Arrays.stream(readyAt).min().orElseThrow();
+    }
+
+    /** Failures in a row at one endpoint. */
+    public int failures(int endpoint) {
+        return failures[endpoint];
+    }
+
+    /** An endpoint has answered as it should. */
+    public void up(int endpoint) {
+        failures[endpoint] = 0;
+        wait[endpoint] = 0;
+    }
+
+    /** An endpoint could not be asked, or did not answer. */
+    public void failed(int endpoint, long now) {
+        failures[endpoint]++;
+        long least = options.base;
+        long most = Math.max(least + 1, Math.min(options.cap, 3 * Math.max(wait[endpoint], least)));
+        wait[endpoint] = least + random(most - least);
+        readyAt[endpoint] = now + wait[endpoint];
+    }
+
+    /** A link that worked was lost: likely for others too, so every endpoint waits a part of the spread. */
+    public void lost(int endpoint, long now) {
+        failures[endpoint]++;
+        long at = now + random(Math.max(1, options.spread));
+        wait[endpoint] = Math.max(options.base, at - now);
+        for (int i = 0; i < readyAt.length; i++) {
+            readyAt[i] = Math.max(readyAt[i], at);
+        }
+        current = (endpoint + 1) % readyAt.length;
+    }
+
+    /** An endpoint told what can't be current: another one is asked first, and this one after a base wait. */
+    public void suspect(int endpoint, long now) {
+        readyAt[endpoint] = Math.max(readyAt[endpoint], now + options.base);
+        current = (endpoint + 1) % readyAt.length;
+    }
+
+    private long random(long below) {
+        return random.nextLong(below);
+    }
+}
--- /dev/null
+++ b/src/main/java/magpiehub/registry/Source.java
@@ -0,0 +1,42 @@
+package magpiehub.registry;
+
+import java.util.List;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.State;
+import magpiehub.core.ModuleActor;
+import magpiehub.net.Engines;
+
+/** Where the list of engines comes from: one actor, whatever the dialect. */
+public interface Source extends ModuleActor.Roster {
+    /** Names the module's actor and gives it the list as this router last had it, if it did. */
+    void start(ModuleActor actor, byte[] saved);
+
+    /** Whether the source has told the list since the start. */
+    boolean known();
+
+    /** Figures for {@code /counters}, one a line, name and value; empty where there are none. */
+    default String figures() {
+        return "";
+    }
+
+    /** A change in order: addresses first, so that the module never sends to an engine without one. */
+    static void tell(ListKind kind, List<Config.Entry> entries, Engines engines, ModuleActor module) {
+        if (kind == ListKind.COMPLETE || kind == ListKind.SAVED) {
+            java.util.Set<String> ids = new java.util.HashSet<>(entries.size() * 2);
+            entries.forEach(e -> ids.add(e.server().id()));
+            engines.only(ids);
+        }
+        for (Config.Entry e : entries) {
+            engines.place(e.server().id(), e.address(), e.server().state() == State.LIVE,
+                    e.server().state() == State.DEAD);
+        }
+        module.list(kind, entries.stream().map(Config.Entry::server).toList());
+    }
+
+    /** An engine of which only its id is known any more. */
+    static Config.Entry gone(String id) {
+        return new Config.Entry(new Server(id, 0, 0, 0, State.DEAD, 1, 0), null);
+    }
+}
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -28,10 +28,10 @@
 import magpiehub.front.MessagesFront;
 import magpiehub.front.PlatformFront;
 import magpiehub.net.Clients;
-import magpiehub.net.Discovery;
 import magpiehub.net.Engines;
 import magpiehub.net.Front;
 import magpiehub.ops.Log;
+import magpiehub.registry.Discovery;
 
 /**
  * Plays a recorded exchange against the program on loopback sockets: the clients, engines and discovery of a
--- /dev/null
+++ b/src/test/java/magpiehub/registry/MembershipTest.java
@@ -0,0 +1,130 @@
+package magpiehub.registry;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.Server;
+import magpiehub.core.Contract.State;
+import org.junit.Test;
+
+/** Membership's doubts, driven directly. */
+public class MembershipTest {
+    private static final long S = 1_000_000;
+    private static final Membership.Options GUARDED =
+            new Membership.Options(0.3, 2, 1_500_000, 10 * S, 3, 1, 60 * S, 0.5);
+
+    private static Config.Entry engine(int i, State state) {
+        return new Config.Entry(new Server("e" + i, 0, 0, 0, state, 1, 0), "10.0.0.1:" + (1 + i));
+    }
+
+    private static View.Delta whole(List<Config.Entry> put, List<String> gone) {
+        return new View.Delta(1, true, false, put, gone);
+    }
+
+    private static View.Delta change(List<Config.Entry> put, List<String> gone) {
+        return new View.Delta(1, false, false, put, gone);
+    }
+
+    private static Membership of(int n) {
+        Membership m = new Membership(GUARDED);
+        m.apply(whole(IntStream.range(0, n).mapToObj(i -> engine(i, State.LIVE)).toList(), List.of()), 0);
+        return m;
+    }
+
+    private static List<String> ids(int from, int to) {
+        return IntStream.range(from, to).mapToObj(i -> "e" + i).toList();
+    }
+
+    private static String states(List<Config.Entry> told) {
+        return told.stream().map(e -> e.server().id() + " " + e.server().state()).sorted()
+                .collect(Collectors.joining(", "));
+    }
+
+    @Test
+    public void aListThatLosesHalfTheFleetNeedsASecondRead() {
+        Membership m = of(10);
+        assertEquals("", states(m.apply(whole(List.of(), ids(0, 5)), S)));
+        assertTrue(m.confirm());
+        assertFalse("asked once", m.confirm());
+        assertEquals(10, m.all().size());
+        // Nothing comes within the set time: it is asked again, and nobody is dropped.
+        assertEquals(S + 1_500_000, m.next());
+        assertEquals("", states(m.due(m.next())));
+        assertTrue(m.confirm());
+        assertEquals("e0 DEAD, e1 DEAD, e2 DEAD, e3 DEAD",
+                states(m.confirmed(Set.copyOf(ids(4, 10)), 4 * S)));
+        assertEquals("e4 is in the second list, the first was wrong", 6, m.all().size());
+    }
+
+    @Test
+    public void aListThatLosesFewIsBelieved() {
+        Membership m = of(10);
+        assertEquals("e0 DEAD, e1 DEAD", states(m.apply(whole(List.of(), ids(0, 2)), S)));
+        assertFalse(m.confirm());
+    }
+
+    @Test
+    public void whatAChangeSaysIsObeyedAtOnceWhateverItsSize() {
+        Membership m = of(10);
+        assertEquals(10, m.apply(change(List.of(), ids(0, 10)), S).size());
+        Membership d = of(10);
+        List<Config.Entry> drains = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            drains.add(engine(i, State.DRAINING));
+        }
+        assertEquals(10, d.apply(whole(drains, List.of()), S).stream()
+                .filter(e -> e.server().state() == State.DRAINING).count());
+    }
+
+    @Test
+    public void aHeldEngineThatIsNamedAgainStaysWithItsNewEntry() {
+        Membership m = of(10);
+        m.apply(whole(List.of(), ids(0, 5)), S);
+        assertEquals("e0 DRAINING", states(m.apply(change(List.of(engine(0, State.DRAINING)), List.of()),
+                S)));
+        assertFalse(m.held().contains("e0"));
+        assertEquals(4, m.confirmed(Set.of(), 2 * S).size());
+    }
+
+    @Test
+    public void anEngineThatFlapsReturnsOnceItHasBeenStill() {
+        Membership m = of(10);
+        for (int i = 1; i <= 4; i++) {
+            assertEquals("away at once", "e0 DEAD", states(m.apply(change(List.of(), ids(0, 1)), i * S)));
+            assertEquals(i < 4 ? "e0 LIVE" : "e0 DRAINING",
+                    states(m.apply(change(List.of(engine(0, State.LIVE)), List.of()), i * S + 1)));
+        }
+        assertEquals(1, m.suppressed());
+        String told = "";
+        long now = 0;
+        while (told.isEmpty()) {
+            now = m.next();
+            told = states(m.due(now));
+        }
+        assertEquals("e0 LIVE", told);
+        assertEquals("log2(3.4) half-lives of 10 s", 22, now / 1e6, 1.0);
+        while (m.next() != Long.MAX_VALUE) {
+            m.due(m.next());
+        }
+        assertEquals(0, m.suppressed());
+    }
+
+    @Test
+    public void aFleetThatFlapsAsOneIsNotSuppressed() {
+        Membership m = of(10);
+        for (int i = 1; i <= 6; i++) {
+            m.apply(change(List.of(), ids(0, 10)), i * S);
+            m.apply(change(IntStream.range(0, 10).mapToObj(k -> engine(k, State.LIVE)).toList(), List.of()),
+                    i * S + 1);
+        }
+        assertTrue(m.suppressed() <= 5);
+        assertTrue(m.figures()[2] > 0);
+    }
+}
