--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import magpiehub.config.Config;
@@ -14,7 +15,11 @@
 import magpiehub.net.Clients;
 import magpiehub.net.Engines;
 import magpiehub.ops.Log;
+import magpiehub.registry.Announcer;
 import magpiehub.registry.Discovery;
+import magpiehub.registry.Options;
+import magpiehub.registry.Registry;
+import magpiehub.registry.Source;
 import magpiehub.sim.Drill;
 import magpiehub.sim.WarmUp;
 import magpiehub.store.ReplicatedStore;
@@ -27,12 +32,15 @@
 public final class Main {
     /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
     private static final int OTHER_DESCRIPTORS = 64;
-    /** After SIGTERM: how long new connections are accepted, until when connections are kept that clients
-     *  have (another router may be down as well), and when what is still held is let go of, in time before
-     *  the process is killed (ms). */
+    /** After SIGTERM: how long the registry may take to forget this router, how long new connections are
+     *  accepted, until when connections are kept that clients have (another router may be down as well), and
+     *  when what is still held is let go of, in time before the process is killed (ms). */
+    private static final long DEREGISTER_MS = 400;
     private static final long HAND_OVER_MS = 600;
     private static final long KEEP_MS = 2_000;
     private static final long LET_GO_MS = 3_000;
+    /** Where an installation names a registry of its own. */
+    private static final Path REGISTRY = Path.of("deploy/registry.json");
     /** Connections for the messages front, where it is on. */
     private static final int MESSAGES_CLIENTS = 64;
 
@@ -74,10 +82,16 @@
                 r.site().idleClose(), r.site().settings().resume(), forEngines,
                 clock, log, crew);
         engines.start();
-        Discovery discovery = new Discovery(r.discovery(), r.site(), engines, clock, log);
+        // A registry of the operators' own instead of the platform's discovery, where a file says so.
+        Options registry = Options.read(REGISTRY);
+        if (registry == null && r.discovery() == null) {
+            throw new Config.Malformed("ROUTER_DISCOVERY is not set and there is no " + REGISTRY);
+        }
+        Source discovery = registry == null ? new Discovery(r.discovery(), r.site(), engines, clock, log)
+                : new Registry(registry, r.site(), engines, clock, log, r.seed());
         ModuleActor module = new ModuleActor(r.site().settings(), r.seed(), clock, engines, discovery, log);
         engines.module(module);
-        Supplier<String> counters = log::counters;
+        Supplier<String> counters = () -> log.counters() + discovery.figures();
         AtomicBoolean warm = new AtomicBoolean();
         BooleanSupplier ready = () -> warm.get() && discovery.known();
         PlatformFront platform = new PlatformFront(r.site());
@@ -100,14 +114,20 @@
         Mailbox.thread("reload", () -> reload(r, hangups, discovery, log)).start();
         Mailbox.thread("module", module::run).start();
         boolean resume = r.site().settings().resume();
+        AtomicReference<Announcer> announcer = new AtomicReference<>();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log, store,
-                r.name())));
+                r.name(), announcer.get())));
         WarmUp.run(WarmUp.FEW);
         platform.warm();
         warm.set(true);
         // The port that was given, where the configuration leaves it open with 0.
         String listen = r.listen().substring(0, r.listen().lastIndexOf(':') + 1) + clients.port();
         log.log("started", "listen", listen);
+        if (registry != null && registry.announce() != null) {
+            Announcer a = new Announcer(registry, r.name(), listen, clock, log, r.seed());
+            announcer.set(a);
+            a.start();
+        }
         if (store != null) {
             store.put("router/" + r.name(), "serving " + listen);
         }
@@ -120,7 +140,7 @@
 
     /** SIGHUP: the file is read again. A file that can't be used changes nothing; discovery's address is
      *  followed at once, and what else differs is named in the log, for it takes a restart. */
-    private static void reload(Config.Router started, Mailbox<Object> hangups, Discovery discovery, Log log) {
+    private static void reload(Config.Router started, Mailbox<Object> hangups, Source discovery, Log log) {
         try {
             while (true) {
                 hangups.take(Long.MAX_VALUE);
@@ -129,10 +149,20 @@
                 }
                 try {
                     Config.Router r = Config.reread(System.getenv());
-                    discovery.move(r.discovery());
+                    Options registry = Options.read(REGISTRY);
+                    List<String> restart = started.changes(r);
+                    if (discovery instanceof Registry g && registry != null) {
+                        g.move(registry);
+                    } else if (discovery instanceof Discovery d && registry == null && r.discovery() !=
+                            null) {
+                        d.move(r.discovery());
+                    } else {
+                        restart.add("registry");
+                    }
                     log.count("reloads");
-                    log.log("reloaded", "discovery", r.discovery(), "needs_restart",
-                            String.join(" ", started.changes(r)));
+                    log.log("reloaded", "discovery", registry == null ? r.discovery()
+                            : String.join(" ", registry.endpoints()), "needs_restart",
+                            String.join(" ", restart));
                 } catch (IOException | RuntimeException | StackOverflowError e) {
                     log.count("reload_failures");
                     log.log("reload-failed", "error", String.valueOf(e.getMessage()));
@@ -146,12 +176,15 @@
     /** SIGTERM: new connections for the hand-over, then those that clients have, then only what is held, then
      *  the counters and the end. */
     private static void stop(List<Clients> fronts, ModuleActor module, boolean resume,
-            Log log, Store store, String name) {
+            Log log, Store store, String name, Announcer announcer) {
         try {
             log.log("stopping", "held", Integer.toString(module.held()));
             if (store != null) {
                 store.put("router/" + name, "stopping");
             }
+            if (announcer != null) {
+                announcer.stop(DEREGISTER_MS); // Before accepting ends: clients are to stop coming first.
+            }
             for (long ms = 0; ms <= HAND_OVER_MS || fronts.stream().anyMatch(c -> c.open() > 0); ms += 5) {
                 Thread.sleep(5);
                 if (ms == HAND_OVER_MS) {
--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -362,7 +362,7 @@
         Object known = f.map().get("known");
         return new Router(said(env, "ROUTER_NAME", f.text("name", null)),
                 address(said(env, "ROUTER_LISTEN", f.text("listen", null))),
-                address(said(env, "ROUTER_DISCOVERY", f.text("discovery", null))), seed(f.map().get("seed")),
+                discovery(env, f.text("discovery", null)), seed(f.map().get("seed")),
                 (int) limits.number("memory_mb", 192), (int) limits.number("sockets", 1024),
                 known == null ? null : write(known), site(f.object("settings")), f.map());
     }
@@ -414,6 +414,13 @@
         }
     }
 
+    /** Null where nothing names it: an installation may have a registry of its own. */
+    private static String discovery(Map<String, String> env, String file) {
+        String variable = env.get("ROUTER_DISCOVERY");
+        return file == null && (variable == null || variable.isEmpty()) ? null
+                : address(said(env, "ROUTER_DISCOVERY", file));
+    }
+
     private static String said(Map<String, String> env, String variable, String otherwise) {
         String v = env.get(variable) != null && !env.get(variable).isEmpty() ? env.get(variable) : otherwise;
         if (v == null) {
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -181,6 +181,7 @@
         Place p = places.get(c.server);
         if (alive && p != null && p.takes) {
             c.freedAt = clock.micros();
+            journal.count("engine_connections_kept");
             idle.computeIfAbsent(c.server, k -> new ArrayDeque<>()).addLast(c);
         } else {
             discharge(c);
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -108,6 +108,7 @@
         private int end;
         private long firstAt;
         private long patience = Long.MAX_VALUE;
+        private int mostChunk = MOST_CHUNK;
 
         /** Says what time it is: once a read, which is this loop's turn. */
         public interface Time {
@@ -124,6 +125,11 @@
             patience = most;
         }
 
+        /** The largest chunk that this peer may send, where it is not one of the fleet's. */
+        public void mostChunk(int bytes) {
+            mostChunk = bytes;
+        }
+
         /** When the first byte of the message being read came (us). */
         public long firstAt() {
             return firstAt;
@@ -251,6 +257,10 @@
 
         /** How long a body is: its length, -1 for chunks, 0 where the head says nothing. */
         private static int framing(Head h) throws Bad {
+            return framing(h, MOST_BODY);
+        }
+
+        private static int framing(Head h, int most) throws Bad {
             String coding = h.get("Transfer-Encoding");
             String length = h.get("Content-Length");
             if (coding != null) {
@@ -267,7 +277,7 @@
                     || !digits(length)) {
                 throw new Bad(400, "malformed Content-Length");
             }
-            if (Long.parseLong(length) > MOST_BODY) {
+            if (Long.parseLong(length) > most) {
                 throw new Bad(413, "body too large");
             }
             return Integer.parseInt(length);
@@ -320,7 +330,7 @@
                     throw new Bad(400, "malformed chunk size");
                 }
                 n = n * 16 + d;
-                if (n > MOST_CHUNK) {
+                if (n > mostChunk) {
                     // Also what would not fit a number; nobody's chunk is so large, its end never comes.
                     throw new Bad(413, "chunk too large");
                 }
@@ -387,8 +397,64 @@
             throw new Bad(502, "malformed event");
         }
 
+        /**
+         * A body as a stream, for what is read piece by piece and may be large. It ends where the body ends,
+         * and is to be read to its end before the next message.
+         *
+         * @param most bytes; a longer body is {@link Bad} 413
+         */
+        public InputStream content(Head h, int most) throws IOException {
+            int length = framing(h, most);
+            return new InputStream() {
+                private boolean over = length == 0;
+                private int left = Math.max(0, length);
+                private boolean inChunks;
+                private long total;
+
+                @Override
+                public int read() throws IOException {
+                    byte[] one = new byte[1];
+                    return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+                }
+
+                @Override
+                public int read(byte[] b, int from, int count) throws IOException {
+                    if (!over && left == 0) {
+                        if (inChunks) {
+                            chunkEnd();
+                        }
+                        inChunks = true;
+                        left = chunk();
+                        over = left == 0;
+                        total += left;
+                        if (total > most) {
+                            throw new Bad(413, "body too large");
+                        }
+                    }
+                    if (over || count == 0) {
+                        return over ? -1 : 0;
+                    }
+                    if (pos == end) {
+                        more("body");
+                    }
+                    int n = Math.min(Math.min(count, left), end - pos);
+                    System.arraycopy(buf, pos, b, from, n);
+                    pos += n;
+                    left -= n;
+                    over = left == 0 && length > 0;
+                    return n;
+                }
+            };
+        }
+
         /** One line of a streamed chunked body after another, until the last chunk. */
         public void lines(Head h, Events to) throws IOException, InterruptedException {
+            lines(h, to, 4 * MOST_BODY);
+        }
+
+        /** The same with the longest line that is read (bytes). A line that the body's end cuts off is none.
+         *  */
+        public void lines(Head h, Events to, int most) throws IOException, InterruptedException {
             if (framing(h) >= 0) {
                 to.event(body(h));
                 return;
@@ -402,7 +468,7 @@
                     byte b = buf[pos++];
                     if (b == '\n') {
                         to.event(line.take());
-                    } else if (line.length() >= 4 * MOST_BODY) {
+                    } else if (line.length() >= most) {
                         throw new Bad(502, "line too large");
                     } else {
                         line.put(b);
--- /dev/null
+++ b/src/main/java/magpiehub/registry/Consul.java
@@ -0,0 +1,216 @@
+package magpiehub.registry;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.State;
+import magpiehub.net.Http;
+
+/**
+ * Consul's HTTP interface (version 1), as its documentation of blocking queries, of {@code
+ * /v1/health/service} and of {@code /v1/kv} describes it: {@code index} and {@code wait} with up to a
+ * sixteenth of jitter, an index that must be above 0 and must not go back, {@code X-Consul-KnownLeader}, the
+ * token in {@code X-Consul-Token}, {@code Retry-After} on 429. Reads are in the default consistency mode.
+ * Each answer is the whole list, so nothing can be missed between two of them; what an answer costs is why
+ * the caller leaves a time between them.
+ *
+ * <p>In the key-value form a value is one engine in discovery's form, and 404 is an empty list. In the health
+ * form an engine is an instance of the service: its address, {@code Meta} ({@code locality}, {@code flavor},
+ * {@code cell}, {@code size}, {@code phase}, {@code up_since_ms}) and its checks. A critical check, and so
+ * maintenance, means that it gets nothing new; what it has may end. Not covered: tags, weights, near, stale
+ * and cached reads, prepared queries, more than one data centre.
+ */
+final class Consul implements Driver {
+    private final String target;
+    private final String probe;
+    private final boolean health;
+    private final int prefixLength;
+    private final long wait;
+    private final String token;
+    private final Entries entries;
+
+    private Consul(String target, String probe, boolean health, int prefixLength, long wait, String token,
+            Entries entries) {
+        this.target = target;
+        this.probe = probe;
+        this.health = health;
+        this.prefixLength = prefixLength;
+        this.wait = wait;
+        this.token = token;
+        this.entries = entries;
+    }
+
+    /** The instances of a service; {@code wait} is how long a blocking query may take (us). */
+    static Consul health(String service, long wait, String token, Entries entries) {
+        String t = "/v1/health/service/" + escaped(service);
+        // A filter that nothing passes: the answer is an empty list under the index of the whole one.
+        return new Consul(t + "?", t + "?filter=" + escaped("Service.ID == \"\""), true, 0, wait, token,
+                entries);
+    }
+
+    /** The values under a prefix. */
+    static Consul values(String prefix, long wait, String token, Entries entries) {
+        String t = "/v1/kv/" + escaped(prefix).replace("%2F", "/");
+        // Keys up to the first separator: a few bytes under the index of all that is below.
+        return new Consul(t + "?recurse&", t + "?keys&separator=%2F", false, prefix.length(), wait, token,
+                entries);
+    }
+
+    static String escaped(String s) {
+        return URLEncoder.encode(s, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    @Override
+    public boolean answersWhole() {
+        return true;
+    }
+
+    @Override
+    public long quiet() {
+        return wait + wait / 16;
+    }
+
+    @Override
+    public void list(Wire w, Sink to) throws IOException, InterruptedException {
+        String t = target.substring(0, target.length() - 1);
+        whole(w, t, to);
+    }
+
+    @Override
+    public void watch(Wire w, View.Position from, Sink to) throws IOException, InterruptedException {
+        // By the documentation an index below 1 is to be taken for none: such a query would never block.
+        whole(w, from.number() < 1 ? target.substring(0, target.length() - 1)
+                : target + "index=" + from.number() + "&wait=" + wait / 1000 + "ms", to);
+    }
+
+    @Override
+    public void check(Wire w, Sink to) throws IOException, InterruptedException {
+        Http.Head h = ask(w, probe);
+        drain(w.content(h));
+        View.Position at = position(h);
+        to.checked(at, at.number(), -1);
+    }
+
+    private Http.Head ask(Wire w, String what) throws IOException {
+        Http.Head h = w.ask("GET", what, null, health ? 0 : 404, "X-Consul-Token", token);
+        if ("false".equalsIgnoreCase(h.get("X-Consul-KnownLeader"))) {
+            // The server may have been cut off from the others: what it says may be long past.
+            drain(w.content(h));
+            throw new IOException("no known leader");
+        }
+        return h;
+    }
+
+    private static View.Position position(Http.Head h) throws IOException {
+        String index = h.get("X-Consul-Index");
+        try {
+            return new View.Position("", 0, Math.max(0, Long.parseUnsignedLong(index == null ? "" : index)));
+        } catch (NumberFormatException e) {
+            throw new IOException("no X-Consul-Index");
+        }
+    }
+
+    static void drain(InputStream in) throws IOException {
+        byte[] b = new byte[4096];
+        int n = in.read(b);
+        while (n >= 0) {
+            n = in.read(b);
+        }
+    }
+
+    private void whole(Wire w, String what, Sink to) throws IOException, InterruptedException {
+        Http.Head h = ask(w, what);
+        View.Position at = position(h);
+        List<View.Item> items = new ArrayList<>();
+        InputStream in = w.content(h);
+        if (h.status() == 404) {
+            drain(in);
+        } else {
+            try (JsonParser p = Config.JSON.createParser(in)) {
+                if (p.nextToken() != JsonToken.START_ARRAY) {
+                    throw new Config.Malformed("an array was due");
+                }
+                while (p.nextToken() == JsonToken.START_OBJECT) {
+                    View.Item i = health ? instance(p) : value(p);
+                    if (i != null) {
+                        items.add(i);
+                    }
+                }
+                if (p.currentToken() != JsonToken.END_ARRAY || p.nextToken() != null) {
+                    throw new Config.Malformed("must be one array of objects");
+                }
+            }
+        }
+        to.whole(at, items);
+    }
+
+    // ---- Entries --------------------------------------------------------------------------------------
+    private View.Item value(JsonParser p) throws IOException {
+        Config.Facts f = new Config.Facts(Config.object(p), "kv");
+        String key = f.text("Key", "");
+        long mod = (long) f.number("ModifyIndex", 0);
+        Object value = f.map().get("Value");
+        if (key.endsWith("/") && value == null) {
+            return null; // What its user interface makes for a folder.
+        }
+        try {
+            byte[] json = Base64.getDecoder().decode(value == null ? "" : (String) value);
+            return item(key, mod, entries.read(json, key.length() > prefixLength ? key.substring(prefixLength)
+                    : null));
+        } catch (IOException | RuntimeException e) {
+            return View.Item.unreadable(key, mod, Etcd.why(e));
+        }
+    }
+
+    private static View.Item item(String key, long mod, Config.Entry e) {
+        return e.server().state() == State.DEAD ? View.Item.gone(key, mod) : View.Item.of(key, mod, e);
+    }
+
+    private View.Item instance(JsonParser p) throws IOException {
+        Config.Facts f = new Config.Facts(Config.object(p), "instance");
+        String key = "?";
+        long mod = 0;
+        try {
+            Config.Facts node = f.object("Node");
+            Config.Facts service = f.object("Service");
+            String id = service.text("ID", "");
+            key = node.text("Node", "") + "/" + id;
+            mod = (long) service.number("ModifyIndex", 0);
+            Config.Facts meta = service.object("Meta");
+            String host = service.text("Address", "");
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("id", meta.text("id", id));
+            m.put("host_port", (host.isEmpty() ? node.text("Address", "") : host) + ":"
+                    + (long) service.number("Port", 0));
+            for (String name : List.of("locality", "flavor")) {
+                m.put(name, meta.text(name, null));
+            }
+            for (String name : List.of("cell", "size", "up_since_ms")) {
+                String v = meta.text(name, null);
+                if (v != null) {
+                    m.put(name, Double.valueOf(v));
+                }
+            }
+            String phase = meta.text("phase", "Ready");
+            for (Config.Facts check : f.objects("Checks")) {
+                String status = check.text("Status", "");
+                if (phase.equals("Ready") && (status.equals("critical") || status.equals("maintenance"))) {
+                    phase = "Terminating";
+                }
+            }
+            m.put("phase", phase);
+            return item(key, mod, entries.of(new Config.Facts(m, "instance"), null));
+        } catch (RuntimeException e) {
+            return View.Item.unreadable(key, mod, Etcd.why(e));
+        }
+    }
+}
--- a/src/main/java/magpiehub/registry/Endpoints.java
+++ b/src/main/java/magpiehub/registry/Endpoints.java
@@ -20,6 +20,7 @@
     private final long[] readyAt;
     private final long[] wait;
     private final int[] failures;
+    private final boolean[] worked;
     private int current;
     private final SplittableRandom random;
 
@@ -30,6 +31,7 @@
         readyAt = new long[count];
         wait = new long[count];
         failures = new int[count];
+        worked = new boolean[count];
         Arrays.fill(readyAt, Long.MIN_VALUE);
         // Routers that start together are spread over the endpoints.
         current = (int) Math.floorMod(random(Long.MAX_VALUE), (long) count);
@@ -76,26 +78,35 @@
     public void up(int endpoint) {
         failures[endpoint] = 0;
         wait[endpoint] = 0;
+        worked[endpoint] = true;
     }
 
-    /** An endpoint could not be asked, or did not answer. */
-    public void failed(int endpoint, long now) {
+    /**
+     * An endpoint could not be asked, did not answer, or ended what it was telling.
+     *
+     * @param silent it stopped answering: then this router found out by itself, at a time of its own, and
+     *     goes to another endpoint soon
+     * @param least it says itself that it is not to be asked sooner (us); 0 otherwise
+     */
+    public void failed(int endpoint, long now, boolean silent, long least) {
         failures[endpoint]++;
-        long least = options.base;
-        long most = Math.max(least + 1, Math.min(options.cap, 3 * Math.max(wait[endpoint], least)));
-        wait[endpoint] = least + random(most - least);
-        readyAt[endpoint] = now + wait[endpoint];
-    }
-
-    /** A link that worked was lost: likely for others too, so every endpoint waits a part of the spread. */
-    public void lost(int endpoint, long now) {
-        failures[endpoint]++;
-        long at = now + random(Math.max(1, options.spread));
-        wait[endpoint] = Math.max(options.base, at - now);
-        for (int i = 0; i < readyAt.length; i++) {
-            readyAt[i] = Math.max(readyAt[i], at);
+        if (worked[endpoint] && !silent) {
+            // Likely for others too: every endpoint waits a part of the spread, or the next one is run over.
+            worked[endpoint] = false;
+            long at = now + random(Math.max(1, options.spread));
+            wait[endpoint] = Math.max(options.base, at - now);
+            for (int i = 0; i < readyAt.length; i++) {
+                readyAt[i] = Math.max(readyAt[i], at);
+            }
+            current = (endpoint + 1) % readyAt.length;
+        } else {
+            worked[endpoint] = false;
+            long most = Math.max(options.base + 1, Math.min(options.cap, 3 * Math.max(wait[endpoint],
+                    options.base)));
+            wait[endpoint] = options.base + random(most - options.base);
+            readyAt[endpoint] = now + wait[endpoint];
         }
-        current = (endpoint + 1) % readyAt.length;
+        readyAt[endpoint] = Math.max(readyAt[endpoint], now + least);
     }
 
     /** An endpoint told what can't be current: another one is asked first, and this one after a base wait. */
--- a/src/main/java/magpiehub/registry/View.java
+++ b/src/main/java/magpiehub/registry/View.java
@@ -1,11 +1,9 @@
 package magpiehub.registry;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -41,7 +39,7 @@
      *     counts
      * @param mod the position at which the key last changed; 0 where the source does not say
      * @param entry the engine; null if the key was removed or can't be read
-     * @param unreadable why it can't be read; null otherwise
+     * @param unreadable why it can't be read, empty if it can but names no engine in service; null otherwise
      */
     public record Item(String key, long mod, Config.Entry entry, String unreadable) {
         public static Item of(String key, long mod, Config.Entry entry) {
@@ -55,6 +53,11 @@
         public static Item unreadable(String key, long mod, String why) {
             return new Item(key, mod, null, why);
         }
+
+        /** A key whose engine is told to be gone: there, but not in the list. */
+        public static Item gone(String key, long mod) {
+            return new Item(key, mod, null, "");
+        }
     }
 
     /** What came of a word. */
@@ -94,7 +97,8 @@
     /** The key that counts for an id, and the others that claim it. */
     private Map<String, String> owner = new HashMap<>();
     private Map<String, Set<String>> rivals = new HashMap<>();
-    private Set<String> unreadable = new LinkedHashSet<>();
+    /** Keys that are there and name no engine, with the reason. */
+    private Map<String, String> left = new LinkedHashMap<>();
     private Position at = Position.NONE;
     private long version;
     private long repeats;
@@ -121,7 +125,7 @@
 
     /** Keys that the source has, with those that can't be read. */
     public int keys() {
-        return byKey.size() + unreadable.size();
+        return byKey.size() + left.size();
     }
 
     /** Single changes that came again and were dropped. */
@@ -134,9 +138,11 @@
         return mustRead || at.number < 0;
     }
 
-    /** Keys whose entries can't be read: left out of the list. */
-    public Collection<String> unreadable() {
-        return unreadable;
+    /** Keys whose entries can't be read, and why: left out of the list. */
+    public Map<String, String> unreadable() {
+        Map<String, String> m = new LinkedHashMap<>(left);
+        m.values().removeIf(String::isEmpty);
+        return m;
     }
 
     /** An engine as the list has it, or null. */
@@ -174,7 +180,7 @@
      */
     public Result whole(Position to, Position asked, List<Item> items, boolean believed) {
         boolean known = at.number >= 0;
-        boolean another = known && (!to.history.equals(at.history) || to.term < at.term);
+        boolean another = known && (!to.history.equals(at.history) || older(to));
         if (!believed && known && !another && to.number < at.number) {
             if (asked == null) {
                 return new Result(Verdict.OLD, null, "older than the list");
@@ -219,7 +225,7 @@
                 apply(i, before);
             }
         }
-        at = to;
+        at = new Position(to.history, Math.max(at.term, to.term), to.number);
         behind = 0;
         return new Result(Verdict.APPLIED, delta(before, false, false), "");
     }
@@ -242,12 +248,13 @@
      * What the source has, beside an open watch. Guards against a watch that stays open and says nothing:
      * what one check saw must have come by the next.
      *
+     * @param asked this view's position when the check was sent: what came since may be newer than its answer
      * @param newest the newest position of any key in the list, as far as the source says
      * @param count keys in the list; -1 where the source does not say
      */
-    public Result checked(Position of, long newest, long count) {
-        Result no = heard(of);
-        if (no.verdict == Verdict.REREAD) {
+    public Result checked(Position of, Position asked, long newest, long count) {
+        Result no = of.number < asked.number ? heard(of) : follows(of);
+        if (no != null && no.verdict == Verdict.REREAD) {
             return no;
         }
         boolean late = owed > at.number;
@@ -259,7 +266,7 @@
             mustRead = true;
             return new Result(Verdict.REREAD, null, late ? "the watch is mute" : "the count differs");
         }
-        return new Result(Verdict.OLD, null, "");
+        return new Result(Verdict.OLD, null, owed > at.number || odd ? "ahead" : "");
     }
 
     /** The source no longer has the changes that would follow. */
@@ -267,9 +274,14 @@
         mustRead = true;
     }
 
+    /** A source that does not name its term in each answer (0) has not gone back. */
+    private boolean older(Position to) {
+        return to.term != 0 && to.term < at.term;
+    }
+
     private Result follows(Position to) {
         boolean other = at.number >= 0 && !to.history.equals(at.history);
-        if (other || to.term < at.term) {
+        if (other || older(to)) {
             mustRead = true;
             return new Result(Verdict.REREAD, null, other ? "another history" : "an older term");
         }
@@ -286,7 +298,7 @@
         byKey = new HashMap<>(items.size() * 2);
         owner = new HashMap<>(items.size() * 2);
         rivals = new HashMap<>();
-        unreadable = new LinkedHashSet<>();
+        left = new LinkedHashMap<>();
         Map<String, Config.Entry> nothing = new HashMap<>();
         for (Item i : items) {
             apply(withAddress(i, oldKeys), nothing);
@@ -312,9 +324,9 @@
             release(i.key, old.entry.server().id(), before);
         }
         if (i.unreadable != null) {
-            unreadable.add(i.key);
+            left.put(i.key, i.unreadable);
         } else {
-            unreadable.remove(i.key);
+            left.remove(i.key);
         }
         if (i.entry == null) {
             byKey.remove(i.key);
--- /dev/null
+++ b/src/test/java/magpiehub/registry/PartsTest.java
@@ -0,0 +1,219 @@
+package magpiehub.registry;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.TreeSet;
+import magpiehub.config.Config;
+import magpiehub.core.Mailbox;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/** Settings, waits, the list on disk and announcing. */
+public class PartsTest {
+    private static final long S = 1_000_000;
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+
+    // ---- Settings -------------------------------------------------------------------------------------
+    private String fault(String json) throws Exception {
+        Path file = folder.getRoot().toPath().resolve("registry.json");
+        Files.writeString(file, json);
+        return assertThrows(Config.Malformed.class, () -> Options.read(file)).getMessage();
+    }
+
+    @Test
+    public void eachFaultNamesFileAndField() throws Exception {
+        String ok = "\"kind\":\"etcd\",\"endpoints\":[\"127.0.0.1:2379\"],\"prefix\":\"/e/\"";
+        for (String[] c : new String[][] {
+            {"{}", "registry.json.kind must be etcd, consul-health or consul-kv"},
+            {"{\"kind\":\"etcd\"}", "registry.json.endpoints must list at least one address:port"},
+            {"{\"kind\":\"etcd\",\"endpoints\":[\"x\"]}", "registry.json.endpoints is no address:port: x"},
+            {"{\"kind\":\"etcd\",\"endpoints\":\"x\"}", "registry.json.endpoints has the wrong type"},
+            {"{\"kind\":\"etcd\",\"endpoints\":[\"127.0.0.1:1\"]}", "registry.json.prefix must name"},
+            {"{\"kind\":\"consul-health\",\"endpoints\":[\"127.0.0.1:1\"]}", "registry.json.service must"},
+            {"{" + ok + ",\"timeout_ms\":1}", "registry.json.timeout_ms must be from 50 to 60000, not 1"},
+            {"{" + ok + ",\"timeout\":900}", "registry.json.timeout is not known; known are announce, "},
+            {"{" + ok + ",\"user\":\"u\"}", "registry.json.password_file must be given with the other"},
+            {"{" + ok + ",\"membership\":{\"removal_share\":2}}",
+                "registry.json.membership.removal_share must be from 0 to 1, not 2"},
+            {"{" + ok + ",\"announce\":{}}", "registry.json.announce.prefix must name"},
+            {"{" + ok + ",\"backoff_base_ms\":2000}", "registry.json.backoff_base_ms must not be above"},
+            {"{" + ok, "registry.json: Unexpected end-of-input"},
+        }) {
+            String got = fault(c[0]);
+            assertTrue(got, got.startsWith(c[1]));
+        }
+        Path secret = folder.newFile("secret").toPath();
+        Files.writeString(secret, "x");
+        Files.setPosixFilePermissions(secret, java.nio.file.attribute.PosixFilePermissions.fromString(
+                "rw-r--r--"));
+        assertTrue(fault("{" + ok + ",\"user\":\"u\",\"password_file\":\"secret\"}").contains("chmod 600"));
+        assertNull(Options.read(folder.getRoot().toPath().resolve("none.json")));
+        assertEquals("etcd", Options.read(Path.of("deploy/registry.example.json")).kind());
+    }
+
+    // ---- Waits ----------------------------------------------------------------------------------------
+    @Test
+    public void threeHundredRoutersThatLoseARegistryComeBackSpread() {
+        TreeSet<Long> first = new TreeSet<>();
+        for (int i = 0; i < 300; i++) {
+            Endpoints e = new Endpoints(3, new Endpoints.Options(100_000, 1_500_000, 1_500_000), i);
+            int at = e.pick(0);
+            e.up(at);
+            e.failed(at, S, false, 0);
+            assertEquals("none of them at once", -1, e.pick(S - 1));
+            first.add(e.readyAt());
+        }
+        long[] times = first.stream().mapToLong(t -> t).toArray();
+        assertTrue("the middle nine tenths take over a second",
+                times[times.length * 95 / 100] - times[times.length * 5 / 100] > S);
+    }
+
+    @Test
+    public void waitsGrowToTheCapAndAnotherEndpointIsAskedMeanwhile() {
+        Endpoints one = new Endpoints(1, new Endpoints.Options(100_000, 1_500_000, 0), 3);
+        long now = 0;
+        long longest = 0;
+        for (int i = 0; i < 50; i++) {
+            one.failed(0, now, false, 0);
+            long wait = one.readyAt() - now;
+            assertTrue("" + wait, wait >= 100_000 && wait <= 1_500_000);
+            assertTrue("at most three times the one before", wait <= Math.max(300_000, 3 * longest));
+            longest = Math.max(longest, wait);
+            now += wait;
+        }
+        assertTrue(longest > S);
+        one.failed(0, now, false, 5 * S);
+        assertEquals("it said itself when to return", -1, one.pick(now + 5 * S - 1));
+        Endpoints two = new Endpoints(2, new Endpoints.Options(100_000, 1_500_000, S), 3);
+        int first = two.pick(0);
+        two.up(first);
+        two.failed(first, 0, true, 0);
+        assertEquals("a silent one is left at once", 1 - first, two.pick(0));
+        two.up(1 - first);
+        assertEquals("the one in use stays in use", 1 - first, two.pick(10 * S));
+        two.suspect(1 - first, 10 * S);
+        assertEquals(first, two.pick(10 * S));
+    }
+
+    // ---- The list on disk -----------------------------------------------------------------------------
+    @Test
+    public void theLastListComesBackWholeOrNotAtAll() throws Exception {
+        Path file = folder.getRoot().toPath().resolve("last");
+        Entries entries = Entries.strict(Rig.site(), 0);
+        LastList list = new LastList(file, entries);
+        assertNull(list.read(0, S));
+        List<Config.Entry> fleet = List.of(entries.read(Rig.engine(7, "Ready").getBytes(), "e7"),
+                entries.read(Rig.engine(8, "Terminating").getBytes(), "e8"));
+        list.write(fleet, new View.Position("c", 3, 9), 5_000);
+        LastList.Kept kept = list.read(6_000, 10 * S);
+        assertEquals(fleet, kept.items().stream().map(View.Item::entry).toList());
+        assertEquals(S, kept.age());
+        assertEquals(new View.Position("c", 3, 9), kept.at());
+        assertThrows(LastList.Unusable.class, () -> list.read(60_000, 10 * S));
+        assertThrows(LastList.Unusable.class, () -> list.read(-100_000, 10 * S));
+        byte[] whole = Files.readAllBytes(file);
+        for (int i = 0; i < whole.length; i++) {
+            byte[] b = whole.clone();
+            b[i] ^= 1;
+            Files.write(file, b);
+            int at = i;
+            if (i < 15 || i > 22) { // The time alone may change and still be one.
+                assertThrows("byte " + at, LastList.Unusable.class, () -> list.read(6_000, 10 * S));
+            }
+            Files.write(file, java.util.Arrays.copyOf(whole, i));
+            assertThrows("cut at " + at, LastList.Unusable.class, () -> list.read(6_000, 10 * S));
+        }
+    }
+
+    @Test
+    public void aStartWithoutARegistryServesTheLastList() throws Exception {
+        Path file = folder.getRoot().toPath().resolve("last");
+        String more = ",\"list_file\":\"" + file + "\",\"list_every_ms\":100";
+        try (StandIn registry = new StandIn(1)) {
+            registry.put("e1", Rig.engine(1, "Ready"));
+            registry.put("e2", Rig.engine(2, "Ready"));
+            try (Rig.Client c = new Rig.Client(Rig.options("etcd", registry.addresses(), more))) {
+                c.follows(registry);
+                Rig.await(() -> c.counted("registry_list_writes") > 0, () -> c.logged.toString());
+            }
+            registry.endpoints.get(0).fault(StandIn.Fault.DOWN);
+            try (Rig.Client c = new Rig.Client(Rig.options("etcd", registry.addresses(), more))) {
+                c.follows(registry);
+                assertTrue(c.logged.indexOf("registry-list-restored engines 2") >= 0);
+                registry.delete("e1");
+                registry.endpoints.get(0).fault(StandIn.Fault.NONE);
+                c.follows(registry);
+                Rig.await(() -> c.counted("registry_list_writes") > 0, () -> c.logged.toString());
+            }
+            Files.writeString(file, "magpiehub-list 1 0 2 0\n{}");
+            try (Rig.Client c = new Rig.Client(Rig.options("etcd", registry.addresses(), more))) {
+                assertTrue(c.logged.toString(), c.logged.indexOf("registry-list-refused") >= 0);
+                c.follows(registry);
+            }
+        }
+    }
+
+    // ---- Announcing -----------------------------------------------------------------------------------
+    @Test
+    public void anAnnouncementIsKeptMadeAnewAndTakenBack() {
+        Announcement a = new Announcement(9 * S, 0);
+        assertEquals(Announcement.Step.REGISTER, a.step(0));
+        a.failed(0, 100);
+        assertEquals(Announcement.Step.NONE, a.step(99));
+        a.registered(100, 6 * S);
+        assertEquals("a third of what was granted", 100 + 2 * S, a.next());
+        assertEquals(Announcement.Step.KEEP, a.step(a.next()));
+        a.lost(3 * S);
+        assertEquals(Announcement.Step.REGISTER, a.step(3 * S));
+        a.registered(3 * S, 9 * S);
+        a.failed(6 * S, 10 * S);
+        assertEquals("its lease has run out", Announcement.Step.REGISTER, a.step(16 * S));
+        a.stop();
+        assertEquals("it may still stand", Announcement.Step.DEREGISTER, a.step(16 * S));
+        a.deregistered();
+        assertEquals(Announcement.Step.DONE, a.step(17 * S));
+        Announcement none = new Announcement(S, 0);
+        none.stop();
+        assertEquals("never made", Announcement.Step.DONE, none.step(0));
+    }
+
+    @Test
+    public void aRouterAnnouncesItselfAgainAfterALossAndLeavesInOrder() throws Exception {
+        for (String kind : List.of("etcd", "consul-kv")) {
+            try (StandIn registry = new StandIn(1);
+                    Rig.Client journal = new Rig.Client(Rig.options(kind, registry.addresses(), ""))) {
+                Announcer a = new Announcer(Rig.options(kind, registry.addresses(),
+                        ",\"announce\":{\"prefix\":"
+                        + "\"routers/\",\"service\":\"routers\",\"ttl_ms\":1000}"), "n1", "127.0.0.1:9",
+                        Mailbox.Clock.SYSTEM, journal, 1);
+                a.start();
+                Rig.await(() -> announced(registry), () -> journal.logged.toString());
+                registry.loseLeases();
+                synchronized (registry) {
+                    registry.services.clear();
+                }
+                Rig.await(() -> announced(registry), () -> journal.logged.toString());
+                assertEquals(1, journal.counted("registry_announcement_lost"));
+                a.stop(20_000);
+                assertTrue(journal.logged.toString(), !announced(registry)
+                        && journal.logged.indexOf("registry-deregistered id n1") >= 0);
+            }
+        }
+    }
+
+    private static boolean announced(StandIn r) {
+        synchronized (r) {
+            return r.services.contains("n1")
+                    || r.leases.values().stream().anyMatch(k -> k.contains("routers/n1"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiehub/registry/RegistryTest.java
@@ -0,0 +1,321 @@
+package magpiehub.registry;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+import static org.junit.Assume.assumeTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import magpiehub.core.Contract.State;
+import magpiehub.registry.StandIn.Fault;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import org.junit.runner.RunWith;
+import org.junit.runners.Parameterized;
+
+/** Whole clients against the stand-in, in each dialect: what breaks, compacts and goes back in time. */
+@RunWith(Parameterized.class)
+public class RegistryTest {
+    @Parameterized.Parameters(name = "{0}")
+    public static List<String> kinds() {
+        return List.of("etcd", "consul-health", "consul-kv");
+    }
+
+    @Parameterized.Parameter
+    public String kind;
+
+    private StandIn registry;
+    private Rig.Client client;
+
+    @Before
+    public void start() throws Exception {
+        registry = new StandIn(2);
+        for (int i = 0; i < 40; i++) {
+            registry.put("e" + i, Rig.engine(i, "Ready"));
+        }
+    }
+
+    @After
+    public void stop() {
+        if (client != null) {
+            client.close();
+        }
+        registry.close();
+    }
+
+    private void connect(String more) throws Exception {
+        client = new Rig.Client(Rig.options(kind, registry.addresses(), more));
+        client.follows(registry);
+    }
+
+    private void only(int endpoint) {
+        registry.endpoints.get(1 - endpoint).fault(Fault.DOWN);
+    }
+
+    private void burst(int from, int n) {
+        for (int i = from; i < from + n; i++) {
+            if (i % 7 == 3) {
+                registry.delete("e" + i % 50);
+            } else {
+                registry.put("e" + i % 50, Rig.engine(i, i % 5 == 0 ? "Terminating" : "Ready"));
+            }
+        }
+    }
+
+    @Test
+    public void followsChangesAndNamesEachOnce() throws Exception {
+        connect("");
+        burst(100, 500);
+        client.follows(registry);
+        assertEquals("one whole list in etcd", kind.equals("etcd"), client.counted("registry_lists") == 1);
+    }
+
+    /** Chunks, lines and the letters beyond ASCII in them are cut at many places, in the middle of bursts. */
+    @Test
+    public void aBreakInTheMiddleOfAnythingAppliesNoHalf() throws Exception {
+        only(0);
+        connect("");
+        for (int cut = 0; cut < 700; cut += 13) {
+            registry.endpoints.get(0).cutAfter = cut;
+            registry.together(Map.of("e1", Rig.engine(2000 + cut, "Ready"), "e2", Rig.engine(3000 + cut,
+                    "Ready"),
+                    "台", Rig.engine(cut, "Ready")));
+            client.follows(registry);
+        }
+    }
+
+    @Test
+    public void aBreakInABurstMissesAndRepeatsNothing() throws Exception {
+        connect("");
+        for (int i = 0; i < 10; i++) {
+            burst(i * 100, 50);
+            registry.cutAll();
+            burst(i * 100 + 50, 50);
+        }
+        client.follows(registry);
+        assertEquals("", client.fault);
+    }
+
+    @Test
+    public void aFragmentedRevisionIsAppliedWhole() throws Exception {
+        registry.fragment = 7;
+        connect("");
+        for (int round = 0; round < 20; round++) {
+            Map<String, String> all = new HashMap<>();
+            for (int i = 0; i < 40; i++) {
+                all.put("e" + i, Rig.engine(round * 100 + i, "Ready"));
+            }
+            registry.together(all);
+            if (round % 5 == 4) {
+                registry.endpoints.get(0).cutAfter = 900;
+                registry.cutAll();
+            }
+        }
+        client.follows(registry);
+    }
+
+    @Test
+    public void olderDataAfterARestartIsReadWhole() throws Exception {
+        connect("");
+        long old = registry.rev;
+        burst(100, 200);
+        client.follows(registry);
+        registry.restore(old, registry.cluster, old);
+        client.follows(registry);
+        assertEquals(1, client.counted("registry_histories"));
+        burst(400, 50);
+        client.follows(registry);
+    }
+
+    @Test
+    public void aHigherRevisionOfAnotherHistoryIsReadWhole() throws Exception {
+        connect("");
+        burst(100, 200);
+        client.follows(registry);
+        registry.restore(20, "99", registry.rev + 1000);
+        client.follows(registry);
+        assertEquals(kind.equals("etcd") ? 1 : 0, client.counted("registry_histories"));
+        burst(400, 50);
+        client.follows(registry);
+    }
+
+    @Test
+    public void endpointsAtDifferentPositionsDoNotTakeTheListBack() throws Exception {
+        connect("");
+        burst(100, 300);
+        client.follows(registry);
+        registry.endpoints.get(1).lag = 200;
+        for (int i = 0; i < 6; i++) {
+            registry.cutAll();
+            burst(400 + i, 1);
+            client.follows(registry);
+        }
+        assertEquals(0, client.counted("registry_histories"));
+    }
+
+    @Test
+    public void aWatchThatSaysNothingIsLeft() throws Exception {
+        connect("");
+        int watched = client.counted("registry_watch_calls");
+        registry.endpoints.forEach(e -> e.fault = Fault.MUTE);
+        burst(100, 20);
+        Rig.await(() -> client.counted("registry_rereads") > 0, () -> client.logged.toString());
+        client.follows(registry);
+        assertTrue(client.counted("registry_watch_calls") >= watched);
+    }
+
+    @Test
+    public void anEndpointThatAcceptsAndNeverAnswersIsLeft() throws Exception {
+        registry.endpoints.get(0).fault = Fault.SILENT;
+        connect("");
+        registry.endpoints.get(0).fault(Fault.NONE);
+        registry.endpoints.get(1).fault(Fault.SILENT);
+        burst(100, 20);
+        client.follows(registry);
+        Rig.await(() -> client.logged.indexOf("why silent") >= 0, () -> client.logged.toString());
+    }
+
+    @Test
+    public void oneUnreadableEntryIsNamedAndLeftOut() throws Exception {
+        registry.put("bad", "{\"host_port\":");
+        connect("");
+        assertTrue(client.logged.toString(), client.logged.indexOf("registry-entry-unreadable key ") >= 0);
+        registry.put("e3", "{\"host_port\":\"nowhere\"}");
+        client.follows(registry);
+        assertFalse(client.fleet.containsKey("e3"));
+        registry.put("bad", Rig.engine(77, "Ready"));
+        registry.put("e3", Rig.engine(78, "Ready"));
+        client.follows(registry);
+        assertEquals(41, client.fleet.size());
+    }
+
+    @Test
+    public void tenThousandEnginesFitIntoOneList() throws Exception {
+        for (int i = 0; i < 10_000; i++) {
+            registry.put("x" + i, i == 5000 ? "?" : Rig.engine(i, "Ready"));
+        }
+        connect("");
+        assertEquals(10_039, client.fleet.size());
+        burst(100, 20);
+        client.follows(registry);
+    }
+
+    @Test
+    public void anEngineBackAtAnotherAddressInsideOneBurstIsThere() throws Exception {
+        connect("");
+        registry.delete("e1");
+        registry.put("new-key", "{\"id\":\"e1\",\"host_port\":\"127.0.0.1:5\"}");
+        registry.put("other", "{\"id\":\"e2\",\"host_port\":\"127.0.0.1:6\"}");
+        registry.delete("e2");
+        client.follows(registry);
+        assertEquals("127.0.0.1:6", client.fleet.get("e2").address());
+    }
+
+    @Test
+    public void anotherRegistryIsFollowedInTheMiddleOfABurst() throws Exception {
+        connect("");
+        try (StandIn second = new StandIn(1)) {
+            second.put("only", Rig.engine(1, "Ready"));
+            second.put("e5", Rig.engine(2, "Ready"));
+            second.endpoints.get(0).fault(Fault.SILENT);
+            burst(100, 100);
+            client.registry.move(Rig.options(kind, second.addresses(), ""));
+            burst(200, 100);
+            // Not told by the second one yet: the first one's word still counts.
+            client.follows(registry);
+            second.endpoints.get(0).fault(Fault.NONE);
+            client.follows(second);
+            burst(300, 10);
+            second.put("later", Rig.engine(3, "Ready"));
+            client.follows(second);
+        }
+    }
+
+    @Test
+    public void aListThatLostTheFleetIsReadTwice() throws Exception {
+        connect("");
+        int lists = registry.asked("/v3/kv/range");
+        registry.restore(5, registry.cluster, 5);
+        client.follows(registry);
+        assertEquals(1, client.counted("membership_doubts"));
+        assertTrue(registry.asked("/v3/kv/range") > lists || !kind.equals("etcd"));
+    }
+
+    @Test
+    public void theWholeRegistryDownAndBackKeepsTheList() throws Exception {
+        connect("");
+        registry.endpoints.forEach(e -> e.fault(Fault.DOWN));
+        burst(100, 50);
+        Rig.await(() -> client.counted("registry_failures") > 3, () -> client.logged.toString());
+        assertFalse("kept, not emptied", client.fleet.isEmpty());
+        registry.endpoints.forEach(e -> e.fault(Fault.NONE));
+        client.follows(registry);
+        Rig.await(() -> client.logged.indexOf("registry-up") >= 0, () -> client.logged.toString());
+    }
+
+    @Test
+    public void refusalsAndLostLeadersAreWaitedOut() throws Exception {
+        connect("");
+        registry.endpoints.get(0).fault(Fault.REFUSING);
+        registry.endpoints.get(1).fault(kind.equals("etcd") ? Fault.UNAUTHORISED : Fault.NO_LEADER);
+        burst(100, 20);
+        Rig.await(() -> client.counted("registry_failures") > 3, () -> client.logged.toString());
+        registry.endpoints.forEach(e -> e.fault(Fault.NONE));
+        client.follows(registry);
+    }
+
+    @Test
+    public void aCompactionBetweenTheListAndTheWatch() throws Exception {
+        assumeTrue(kind.equals("etcd"));
+        connect("");
+        registry.endpoints.forEach(e -> e.fault(Fault.DOWN));
+        burst(100, 50);
+        registry.compact();
+        registry.endpoints.forEach(e -> e.fault(Fault.NONE));
+        client.follows(registry);
+        assertEquals(1, client.counted("registry_compactions"));
+    }
+
+    @Test
+    public void aCompactionBetweenThePagesOfAList() throws Exception {
+        assumeTrue(kind.equals("etcd"));
+        registry.betweenPages = () -> {
+            registry.betweenPages = () -> { };
+            registry.put("e7", Rig.engine(4711, "Ready"));
+            registry.compact();
+        };
+        connect(",\"page\":10");
+        assertEquals(4711, client.fleet.get("e7").server().cell());
+        assertEquals(40, client.fleet.size());
+    }
+
+    @Test
+    public void aTokenThatExpiredIsFetchedAnew() throws Exception {
+        assumeTrue(kind.equals("etcd"));
+        registry.password = "secret";
+        java.nio.file.Path file = java.nio.file.Files.createTempFile("password", "");
+        java.nio.file.Files.writeString(file, "secret\n");
+        connect(",\"user\":\"router\",\"password_file\":\"" + file + "\"");
+        synchronized (registry) {
+            registry.tokens.clear();
+        }
+        registry.cutAll();
+        burst(100, 20);
+        client.follows(registry);
+        assertTrue(registry.logins >= 2);
+    }
+
+    @Test
+    public void aDrainIsToldAtOnceThoughTheFleetIsDoubted() throws Exception {
+        connect("");
+        for (int i = 0; i < 40; i++) {
+            registry.put("e" + i, Rig.engine(i, "Terminating"));
+        }
+        Rig.await(() -> client.fleet.values().stream().allMatch(
+                e -> e.server().state() == State.DRAINING), () -> client.logged.toString());
+        assertEquals(0, client.counted("membership_doubts"));
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiehub/registry/StandIn.java
@@ -0,0 +1,621 @@
+package magpiehub.registry;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import magpiehub.config.Config;
+import magpiehub.core.Mailbox;
+import magpiehub.net.Clients;
+import magpiehub.net.Http;
+
+/**
+ * A registry that speaks etcd's JSON gateway and Consul's HTTP interface over one set of keys, written from
+ * their public descriptions, with several endpoints that fail as told. It owns the truth: every version of
+ * every key. It must never fail by itself, or hold anything back that it was not told to hold back.
+ */
+final class StandIn implements AutoCloseable {
+    static final String PREFIX = "fleet/engines/";
+    /** How each further write of an endpoint ends. */
+    enum Fault { NONE, DOWN, SILENT, MUTE, UNAUTHORISED, REFUSING, NO_LEADER }
+
+    record Version(long rev, byte[] value) {
+    }
+
+    record Event(long rev, String key, byte[] value) {
+    }
+
+    /** One history: since the last restore. */
+    private final Map<String, List<Version>> keys = new TreeMap<>();
+    private List<Event> log = new ArrayList<>();
+    String cluster = "14841639068965178418";
+    long term = 2;
+    long rev = 1;
+    long compacted;
+    /** Answers of at most so many events are whole; larger ones come in fragments. */
+    int fragment = 50;
+    String password;
+    final Set<String> tokens = new HashSet<>();
+    int logins;
+    final Map<Long, Set<String>> leases = new HashMap<>();
+    final Set<String> services = new HashSet<>();
+    final List<Endpoint> endpoints = new ArrayList<>();
+    final Map<String, Integer> asked = new ConcurrentHashMap<>();
+    /** Called under the lock before each page but the first of a list. */
+    Runnable betweenPages = () -> { };
+    private final Map<byte[], byte[]> instances = new java.util.IdentityHashMap<>();
+    private byte[] cachedBody;
+    private String cachedFor = "";
+
+    StandIn(int n) throws IOException {
+        for (int i = 0; i < n; i++) {
+            endpoints.add(new Endpoint());
+        }
+    }
+
+    List<String> addresses() {
+        return endpoints.stream().map(Endpoint::address).toList();
+    }
+
+    // ---- The truth ------------------------------------------------------------------------------------
+    synchronized long put(String id, String json) {
+        write(++rev, PREFIX + id, json.getBytes(StandardCharsets.UTF_8));
+        notifyAll();
+        return rev;
+    }
+
+    synchronized void delete(String id) {
+        write(++rev, PREFIX + id, null);
+        notifyAll();
+    }
+
+    /** Several keys in one revision; a null value removes. */
+    synchronized void together(Map<String, String> changes) {
+        rev++;
+        changes.forEach((id, json) -> write(rev, PREFIX + id,
+                json == null ? null : json.getBytes(StandardCharsets.UTF_8)));
+        notifyAll();
+    }
+
+    private void write(long at, String key, byte[] value) {
+        keys.computeIfAbsent(key, k -> new ArrayList<>()).add(new Version(at, value));
+        log.add(new Event(at, key, value));
+    }
+
+    synchronized void compact() {
+        compacted = rev;
+    }
+
+    synchronized void lead() {
+        term++;
+        cutAll();
+    }
+
+    /** The registry comes back with what it held at a revision; further writes go on from there. */
+    synchronized void restore(long to, String newCluster, long newRev) {
+        keys.values().forEach(l -> l.removeIf(v -> v.rev > to));
+        keys.values().removeIf(List::isEmpty);
+        log.removeIf(e -> e.rev > to);
+        rev = newRev;
+        compacted = newRev > to ? newRev : Math.min(compacted, to);
+        cluster = newCluster;
+        cachedFor = "";
+        notifyAll();
+        cutAll();
+    }
+
+    void cutAll() {
+        endpoints.forEach(Endpoint::cut);
+    }
+
+    /** Values as of a revision, by key. */
+    synchronized Map<String, Version> at(long revision, String prefix) {
+        Map<String, Version> m = new TreeMap<>();
+        keys.forEach((k, l) -> {
+            for (int i = l.size() - 1; i >= 0 && k.startsWith(prefix); i--) {
+                if (l.get(i).rev <= revision) {
+                    if (l.get(i).value != null) {
+                        m.put(k, l.get(i));
+                    }
+                    return;
+                }
+            }
+        });
+        return m;
+    }
+
+    private List<Event> after(long from, long to, String prefix) {
+        int i = log.size();
+        while (i > 0 && log.get(i - 1).rev >= from) {
+            i--;
+        }
+        return log.subList(i,
+                log.size()).stream().filter(e -> e.rev <= to && e.key.startsWith(prefix)).toList();
+    }
+
+    synchronized void loseLeases() {
+        leases.clear();
+    }
+
+    int asked(String path) {
+        return asked.getOrDefault(path, 0);
+    }
+
+    @Override
+    public void close() {
+        endpoints.forEach(e -> e.fault(Fault.DOWN));
+    }
+
+    // ---- Endpoints ------------------------------------------------------------------------------------
+    final class Endpoint {
+        private final int port;
+        private ServerSocket server;
+        private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+        volatile Fault fault = Fault.NONE;
+        /** Revisions that this endpoint is behind. */
+        volatile long lag;
+        /** Bytes after which the next answer to a watch is cut off; -1 for none. */
+        volatile int cutAfter = -1;
+        volatile long delayMs;
+
+        Endpoint() throws IOException {
+            server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+            port = server.getLocalPort();
+            Mailbox.thread("stand-in", () -> accept(server)).start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + port;
+        }
+
+        /** From now on it fails so; connections are cut, unless they are only to say nothing more. */
+        void fault(Fault f) {
+            fault = f;
+            try {
+                if (f == Fault.DOWN) {
+                    server.close();
+                } else if (server.isClosed()) {
+                    server = new ServerSocket();
+                    server.setReuseAddress(true);
+                    server.bind(new java.net.InetSocketAddress("127.0.0.1", port), 512);
+                    ServerSocket s = server;
+                    Mailbox.thread("stand-in", () -> accept(s)).start();
+                }
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            if (f != Fault.SILENT && f != Fault.MUTE) {
+                cut();
+            }
+            synchronized (StandIn.this) {
+                StandIn.this.notifyAll();
+            }
+        }
+
+        void cut() {
+            open.forEach(Clients::closeQuietly);
+        }
+
+        private void accept(ServerSocket s) {
+            while (!s.isClosed()) {
+                try {
+                    Socket c = s.accept();
+                    open.add(c);
+                    if (s.isClosed()) {
+                        c.close(); // Accepted while it went down.
+                    }
+                    Mailbox.thread("stand-in-peer", () -> serve(c)).start();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        }
+
+        private void serve(Socket s) {
+            try (s) {
+                s.setTcpNoDelay(true);
+                Http.Input in = new Http.Input(s.getInputStream(), () -> 0);
+                while (in.await()) {
+                    Http.Head h = in.head(true);
+                    byte[] body = in.body(h);
+                    String[] target = h.start[1].split("\\?", 2);
+                    asked.merge(target[0], 1, Integer::sum);
+                    if (delayMs > 0) {
+                        Thread.sleep(delayMs);
+                    }
+                    mayAnswer();
+                    answer(h, target[0], target.length > 1 ? target[1] : "", body, s.getOutputStream());
+                }
+            } catch (IOException | InterruptedException | RuntimeException e) {
+                // The peer's end, or this endpoint's.
+            } finally {
+                open.remove(s);
+            }
+        }
+
+        private void mayAnswer() throws InterruptedException {
+            synchronized (StandIn.this) {
+                while (fault == Fault.SILENT) {
+                    StandIn.this.wait();
+                }
+            }
+        }
+
+        private long visible() {
+            return Math.max(1, rev - lag);
+        }
+
+        private void send(OutputStream out, int status, String headers, byte[] body) throws IOException {
+            Http.Output o = new Http.Output();
+            o.text("HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length + "\r\n\r\n");
+            o.bytes(body);
+            cutTo(out, o.take());
+        }
+
+        /** Writes all, or as much as the script lets through. */
+        private void cutTo(OutputStream out, byte[] all) throws IOException {
+            int most = cutAfter;
+            if (most >= 0 && most < all.length) {
+                cutAfter = -1;
+                out.write(all, 0, most);
+                throw new IOException("cut");
+            }
+            out.write(all);
+        }
+
+        private void answer(Http.Head h, String path, String query, byte[] body, OutputStream out)
+                throws IOException, InterruptedException {
+            if (fault == Fault.REFUSING) {
+                send(out, 429, "Retry-After: 0.2\r\n", "{}".getBytes());
+            } else if (path.startsWith("/v3/")) {
+                etcd(h, path, Config.facts(body, "call"), out);
+            } else if (path.startsWith("/v1/agent")) {
+                agent(path, body, out);
+            } else {
+                consul(h, path, query, out);
+            }
+        }
+
+        // ---- etcd ---------------------------------------------------------------------------------
+        private void etcd(Http.Head h, String path, Config.Facts f, OutputStream out)
+                throws IOException, InterruptedException {
+            if (path.equals("/v3/auth/authenticate")) {
+                boolean right = f.text("password", "").equals(password);
+                synchronized (StandIn.this) {
+                    if (right) {
+                        tokens.add("token." + ++logins);
+                    }
+                }
+                send(out, right ? 200 : 400, "", (right ? "{\"header\":{},\"token\":\"token." + logins + "\"}"
+                        : "{\"error\":\"authentication failed, invalid user ID or password\",\"code\":3}")
+                        .getBytes());
+                return;
+            }
+            synchronized (StandIn.this) {
+                if (fault == Fault.UNAUTHORISED || password != null && !tokens.contains(
+                        String.valueOf(h.get("Authorization")))) {
+                    error(out, 401, 16, "etcdserver: invalid auth token");
+                    return;
+                }
+            }
+            switch (path) {
+                case "/v3/kv/range" -> range(f, out);
+                case "/v3/watch" -> watch(f.object("create_request"), out);
+                default -> lease(path, f, out);
+            }
+        }
+
+        private void error(OutputStream out, int status, int code, String message) throws IOException {
+            send(out, status, "",
+                    ("{\"error\":\"" + message + "\",\"code\":" + code + ",\"message\":\"" + message
+                    + "\",\"details\":[]}").getBytes());
+        }
+
+        private void header(JsonGenerator g) throws IOException {
+            g.writeObjectFieldStart("header");
+            g.writeStringField("cluster_id", cluster);
+            g.writeStringField("member_id", "10276657743932975437");
+            g.writeStringField("revision", Long.toString(visible()));
+            g.writeStringField("raft_term", Long.toString(term));
+            g.writeEndObject();
+        }
+
+        private static String text(Config.Facts f, String key) {
+            return new String(Base64.getDecoder().decode(f.text(key, "")), StandardCharsets.UTF_8);
+        }
+
+        private void keyValue(JsonGenerator g, String key, long mod, byte[] value) throws IOException {
+            g.writeBinaryField("key", key.getBytes(StandardCharsets.UTF_8));
+            g.writeStringField("mod_revision", Long.toString(mod));
+            g.writeStringField("create_revision", Long.toString(mod));
+            g.writeStringField("version", "1");
+            if (value != null) {
+                g.writeBinaryField("value", value);
+            }
+        }
+
+        private void range(Config.Facts f, OutputStream out) throws IOException {
+            String from = text(f, "key");
+            String end = text(f, "range_end");
+            boolean newest = f.text("sort_target", "").equals("MOD");
+            long wanted = Long.parseLong(f.text("revision", "0"));
+            byte[] body;
+            synchronized (StandIn.this) {
+                if (wanted > 0) {
+                    betweenPages.run();
+                }
+                if (wanted > 0 && wanted < compacted) {
+                    body = null;
+                } else {
+                    List<Map.Entry<String, Version>> all = new ArrayList<>(
+                            at(wanted > 0 ? wanted : visible(), PREFIX).entrySet());
+                    all.removeIf(e -> e.getKey().compareTo(from) < 0 || e.getKey().compareTo(end) >= 0);
+                    int count = all.size();
+                    if (newest) {
+                        all.sort((a, b) -> Long.compare(b.getValue().rev, a.getValue().rev));
+                    }
+                    int limit = (int) f.number("limit", 0);
+                    List<Map.Entry<String, Version>> some = limit > 0 && limit < count ? all.subList(0, limit)
+                            : all;
+                    body = Etcd.json(g -> {
+                        header(g);
+                        g.writeArrayFieldStart("kvs");
+                        for (Map.Entry<String, Version> e : some) {
+                            g.writeStartObject();
+                            keyValue(g, e.getKey(), e.getValue().rev, newest ? null : e.getValue().value);
+                            g.writeEndObject();
+                        }
+                        g.writeEndArray();
+                        if (some.size() < count) {
+                            g.writeBooleanField("more", true);
+                        }
+                        g.writeStringField("count", Integer.toString(count));
+                    });
+                }
+            }
+            if (body == null) {
+                error(out, 400, 11, "etcdserver: mvcc: required revision has been compacted");
+            } else {
+                send(out, 200, "", body);
+            }
+        }
+
+        /** A line of the watch, its letters beyond ASCII as they are. */
+        private void line(OutputStream out, Etcd.Body result) throws IOException {
+            byte[] b = Etcd.json(g -> {
+                g.writeObjectFieldStart("result");
+                result.write(g);
+                g.writeStringField("note", "台南");
+                g.writeEndObject();
+            });
+            Http.Output o = new Http.Output();
+            o.chunk((new String(b, StandardCharsets.UTF_8) + "\n").getBytes(StandardCharsets.UTF_8));
+            cutTo(out, o.take());
+        }
+
+        private void watch(Config.Facts f, OutputStream out) throws IOException, InterruptedException {
+            long next = Long.parseLong(f.text("start_revision", "0"));
+            String prefix = text(f, "key");
+            out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+            String created = cluster;
+            synchronized (StandIn.this) {
+                line(out, g -> {
+                    header(g);
+                    g.writeStringField("watch_id", "0");
+                    g.writeBooleanField("created", true);
+                });
+            }
+            while (true) {
+                List<Event> events;
+                long compactedAt = 0;
+                synchronized (StandIn.this) {
+                    while (next > compacted && (fault == Fault.MUTE || fault == Fault.SILENT
+                            || after(next, visible(), prefix).isEmpty())) {
+                        StandIn.this.wait();
+                        if (!cluster.equals(created)) {
+                            return;
+                        }
+                    }
+                    compactedAt = next <= compacted ? compacted : 0;
+                    events = List.copyOf(after(next, visible(), prefix));
+                    next = visible() + 1;
+                }
+                if (compactedAt > 0) {
+                    long at = compactedAt;
+                    line(out, g -> {
+                        header(g);
+                        g.writeBooleanField("canceled", true);
+                        g.writeStringField("compact_revision", Long.toString(at));
+                    });
+                    return;
+                }
+                for (int i = 0; i < events.size(); i += fragment) {
+                    List<Event> some = events.subList(i, Math.min(events.size(), i + fragment));
+                    boolean more = i + fragment < events.size();
+                    line(out, g -> {
+                        header(g);
+                        if (more) {
+                            g.writeBooleanField("fragment", true);
+                        }
+                        g.writeArrayFieldStart("events");
+                        for (Event e : some) {
+                            g.writeStartObject();
+                            if (e.value == null) {
+                                g.writeStringField("type", "DELETE");
+                            }
+                            g.writeObjectFieldStart("kv");
+                            keyValue(g, e.key, e.rev, e.value);
+                            g.writeEndObject();
+                            g.writeEndObject();
+                        }
+                        g.writeEndArray();
+                    });
+                }
+            }
+        }
+
+        private void lease(String path, Config.Facts f, OutputStream out) throws IOException {
+            synchronized (StandIn.this) {
+                long id = Long.parseLong(f.text("ID", f.text("lease", "0")));
+                Set<String> held = leases.get(id);
+                switch (path) {
+                    case "/v3/lease/grant" -> {
+                        leases.put(++rev * 7, new HashSet<>());
+                        send(out, 200, "", ("{\"ID\":\"" + rev * 7 + "\",\"TTL\":\"" + f.text("TTL", "")
+                                + "\"}").getBytes());
+                    }
+                    case "/v3/kv/put" -> {
+                        if (held == null) {
+                            error(out, 404, 5, "etcdserver: requested lease not found");
+                            return;
+                        }
+                        held.add(text(f, "key"));
+                        send(out, 200, "", "{}".getBytes());
+                    }
+                    case "/v3/lease/keepalive" -> send(out, 200, "", ("{\"result\":{\"ID\":\"" + id + "\""
+                            + (held == null ? "" : ",\"TTL\":\"10\"") + "}}\n").getBytes());
+                    default -> {
+                        leases.remove(id);
+                        send(out, 200, "", "{}".getBytes());
+                    }
+                }
+                StandIn.this.notifyAll();
+            }
+        }
+
+        // ---- Consul -------------------------------------------------------------------------------
+        private void agent(String path, byte[] body, OutputStream out) throws IOException {
+            String id = path.substring(path.lastIndexOf('/') + 1).replaceFirst("^service:", "");
+            boolean known;
+            synchronized (StandIn.this) {
+                if (path.endsWith("/register")) {
+                    services.add(Config.facts(body, "service").text("ID", ""));
+                    known = true;
+                } else if (path.contains("/deregister/")) {
+                    known = services.remove(id);
+                } else {
+                    known = services.contains(id);
+                }
+            }
+            send(out, known ? 200 : 404, "", known ? new byte[0] : "Unknown check".getBytes());
+        }
+
+        private void consul(Http.Head h, String path, String query, OutputStream out)
+                throws IOException, InterruptedException {
+            if (fault == Fault.UNAUTHORISED || password != null &&
+                    !password.equals(h.get("X-Consul-Token"))) {
+                send(out, 403, "", "Permission denied".getBytes());
+                return;
+            }
+            if (fault == Fault.NO_LEADER) {
+                send(out, 200, "X-Consul-Index: " + rev + "\r\nX-Consul-KnownLeader: false\r\n",
+                        "[]".getBytes());
+                return;
+            }
+            Map<String, String> q = new HashMap<>();
+            Arrays.stream(query.split("&")).map(p -> p.split("=", 2))
+                    .forEach(p -> q.put(p[0], p.length > 1 ? p[1] : ""));
+            long index = Long.parseLong(q.getOrDefault("index", "0"));
+            long until = System.nanoTime() + Long.parseLong(q.getOrDefault("wait", "60000ms")
+                    .replace("ms", "")) * 1_000_000;
+            byte[] body;
+            long at;
+            boolean health = path.startsWith("/v1/health");
+            synchronized (StandIn.this) {
+                long left = (until - System.nanoTime()) / 1_000_000;
+                while (index > 0 && index == visible() && left > 0 || index > 0 && fault == Fault.MUTE) {
+                    StandIn.this.wait(Math.max(1, left));
+                    left = (until - System.nanoTime()) / 1_000_000;
+                }
+                at = visible();
+                if (q.containsKey("filter") || q.containsKey("keys")) {
+                    body = "[]".getBytes();
+                } else {
+                    String wanted = at + " " + health;
+                    if (!wanted.equals(cachedFor)) {
+                        cachedBody = list(at(at, PREFIX), health);
+                        cachedFor = wanted;
+                    }
+                    body = cachedBody;
+                }
+            }
+            send(out, body.length == 2 && !health ? 404 : 200, "X-Consul-Index: " + at
+                    + "\r\nX-Consul-KnownLeader: true\r\n", body);
+        }
+
+        private byte[] list(Map<String, Version> all, boolean health) throws IOException {
+            java.io.ByteArrayOutputStream b = new java.io.ByteArrayOutputStream();
+            b.write('[');
+            for (Map.Entry<String, Version> e : all.entrySet()) {
+                if (b.size() > 1) {
+                    b.write(',');
+                }
+                byte[] value = e.getValue().value;
+                if (health) {
+                    byte[] i = instances.get(value);
+                    if (i == null) {
+                        i = instance(e.getKey().substring(PREFIX.length()), e.getValue());
+                        instances.put(value, i);
+                    }
+                    b.write(i);
+                } else {
+                    b.write(Etcd.json(g -> {
+                        g.writeStringField("Key", e.getKey());
+                        g.writeNumberField("ModifyIndex", e.getValue().rev);
+                        g.writeBinaryField("Value", value);
+                    }));
+                }
+            }
+            b.write(']');
+            return b.toByteArray();
+        }
+
+        private byte[] instance(String id, Version v) throws IOException {
+            Config.Facts f;
+            try {
+                f = Config.facts(v.value, "value");
+            } catch (IOException | RuntimeException e) {
+                f = Config.facts("{\"host_port\":\"nowhere:x\"}".getBytes(), "value");
+            }
+            Config.Facts e = f;
+            String[] address = (e.text("host_port", "") + ":x").split(":");
+            String phase = e.text("phase", "Ready");
+            return Etcd.json(g -> {
+                g.writeObjectFieldStart("Node");
+                g.writeStringField("Node", "節點-1");
+                g.writeStringField("Address", "127.0.0.1");
+                g.writeEndObject();
+                g.writeObjectFieldStart("Service");
+                g.writeStringField("ID", id);
+                g.writeStringField("Address", address[0]);
+                g.writeFieldName("Port");
+                g.writeRawValue(address[1].equals("x") ? "\"x\"" : address[1]);
+                g.writeNumberField("ModifyIndex", v.rev);
+                g.writeObjectFieldStart("Meta");
+                g.writeStringField("id", e.text("id", id));
+                g.writeStringField("cell", Integer.toString((int) e.number("cell", 0)));
+                g.writeEndObject();
+                g.writeEndObject();
+                g.writeArrayFieldStart("Checks");
+                g.writeStartObject();
+                g.writeStringField("CheckID", "service:" + id);
+                g.writeStringField("Status", phase.equals("Ready") ? "passing" : "critical");
+                g.writeEndObject();
+                g.writeEndArray();
+            });
+        }
+    }
+}
--- a/src/test/java/magpiehub/registry/ViewTest.java
+++ b/src/test/java/magpiehub/registry/ViewTest.java
@@ -119,7 +119,7 @@
         }
         View v = with(10_000, items.toArray(new Item[0]));
         assertEquals(9_999, v.size());
-        assertEquals(List.of("k5000"), List.copyOf(v.unreadable()));
+        assertEquals(List.of("k5000"), List.copyOf(v.unreadable().keySet()));
         v.changes(at(10_001), List.of(item("k5000", 10_001)));
         assertEquals(10_000, v.size());
         assertTrue(v.unreadable().isEmpty());
@@ -128,14 +128,14 @@
     @Test
     public void aMuteWatchIsFoundByTwoChecks() {
         View v = with(5, item("a", 3), item("b", 5));
-        assertEquals(Verdict.OLD, of(v.checked(at(9), 9, 2)));
+        assertEquals(Verdict.OLD, of(v.checked(at(9), v.position(), 9, 2)));
         v.changes(at(9), List.of(item("a", 9)));
-        assertEquals(Verdict.OLD, of(v.checked(at(12), 12, 2)));
-        assertEquals(Verdict.REREAD, of(v.checked(at(12), 12, 2)));
+        assertEquals(Verdict.OLD, of(v.checked(at(12), v.position(), 12, 2)));
+        assertEquals(Verdict.REREAD, of(v.checked(at(12), v.position(), 12, 2)));
         assertTrue(v.needsWhole());
         View w = with(5, item("a", 3), item("b", 5));
-        assertEquals(Verdict.OLD, of(w.checked(at(9), 3, 1)));
-        assertEquals("a removal that never came", Verdict.REREAD, of(w.checked(at(9), 3, 1)));
+        assertEquals(Verdict.OLD, of(w.checked(at(9), w.position(), 3, 1)));
+        assertEquals("a removal that never came", Verdict.REREAD, of(w.checked(at(9), w.position(), 3, 1)));
     }
 
     @Test
