Know a history again before a watch goes on: ask what stood at its position

Before an etcd watch goes on, the key that had changed last and the count of all are read at that very revision and held against the view; what differs is read whole. Whole lists are also read at most four times a second, whatever a registry says.

--- a/src/main/java/magpiehub/registry/Driver.java
+++ b/src/main/java/magpiehub/registry/Driver.java
@@ -18,8 +18,11 @@
 
         void changes(View.Position to, List<View.Item> items) throws IOException, InterruptedException;
 
-        /** The changes asked for are gone; the oldest kept position, for the log. */
-        void compacted(long oldest) throws IOException, InterruptedException;
+        /** Before a watch goes on: see {@link View#resumed}. */
+        void resumed(View.Position of, View.Item last, long count) throws IOException, InterruptedException;
+
+        /** The changes asked for are not to be had: compacted, or not there yet. */
+        void compacted(String why) throws IOException, InterruptedException;
 
         /** See {@link View#checked}. */
         void checked(View.Position of, long newest, long count) throws IOException, InterruptedException;
--- a/src/main/java/magpiehub/registry/Etcd.java
+++ b/src/main/java/magpiehub/registry/Etcd.java
@@ -333,15 +333,24 @@
 
     @Override
     public void check(Wire w, Sink sink) throws IOException, InterruptedException {
-        Page p = range(w, g -> {
+        Page p = newest(w, 0);
+        sink.checked(p.header, p.kvs.isEmpty() ? 0 : p.kvs.get(0).mod, p.count);
+    }
+
+    /** The key that changed last, by a revision or now (0), and the count of all. */
+    private Page newest(Wire w, long revision) throws IOException {
+        return range(w, g -> {
             g.writeBinaryField("key", from);
             g.writeBinaryField("range_end", to);
             g.writeNumberField("limit", 1);
             g.writeStringField("sort_order", "DESCEND");
             g.writeStringField("sort_target", "MOD");
-            g.writeBooleanField("keys_only", true);
+            if (revision > 0) {
+                g.writeStringField("revision", Long.toString(revision));
+            } else {
+                g.writeBooleanField("keys_only", true);
+            }
         });
-        sink.checked(p.header, p.kvs.isEmpty() ? 0 : p.kvs.get(0).mod, p.count);
     }
 
     // ---- The watch ------------------------------------------------------------------------------------
@@ -360,6 +369,17 @@
 
     @Override
     public void watch(Wire w, View.Position after, Sink sink) throws IOException, InterruptedException {
+        // The answer is judged before what the watch tells; if it is another past, this call is no longer
+        // heard.
+        try {
+            Page p = newest(w, after.number());
+            sink.resumed(p.header, p.kvs.isEmpty() ? null : item(p.kvs.get(0), false), p.count);
+        } catch (Failure e) {
+            if (e.code == OUT_OF_RANGE) {
+                sink.compacted(e.getMessage());
+            }
+            throw e;
+        }
         byte[] request = json(g -> {
             g.writeObjectFieldStart("create_request");
             g.writeBinaryField("key", from);
@@ -438,7 +458,7 @@
             throw l.error;
         }
         if (l.compactRevision > 0) {
-            sink.compacted(l.compactRevision);
+            sink.compacted("oldest kept is " + l.compactRevision);
             throw new Failure(OUT_OF_RANGE, "compacted at " + l.compactRevision);
         }
         if (l.canceled) {
--- a/src/main/java/magpiehub/registry/Registry.java
+++ b/src/main/java/magpiehub/registry/Registry.java
@@ -28,6 +28,7 @@
     private static final long LONGEST_LIST = 30_000_000;
     /** After a check that saw more than the watch has told: how soon the next one decides (us). */
     private static final long SOON = 300_000;
+    private static final long BETWEEN_LISTS = 250_000;
 
     /** No answer in time. */
     private static final class Silent extends IOException {
@@ -220,11 +221,17 @@
         }
 
         @Override
-        public void compacted(long oldest) throws IOException, InterruptedException {
+        public void resumed(View.Position of, View.Item last, long count)
+                throws IOException, InterruptedException {
+            post(() -> reread(call, view.resumed(of, call.asked, last, count)), 64);
+        }
+
+        @Override
+        public void compacted(String why) throws IOException, InterruptedException {
             post(() -> {
                 journal.count("registry_compactions");
-                journal.log("registry-compacted", "endpoint", endpoint(call), "oldest", Long.toString(oldest),
-                        "position", Long.toString(view.position().number()));
+                journal.log("registry-compacted", "endpoint", endpoint(call), "why", why, "position",
+                        Long.toString(view.position().number()));
                 view.compacted();
             }, 64);
         }
@@ -252,6 +259,7 @@
         boolean confirm;
         long mainAt;
         long checkAt = Long.MIN_VALUE;
+        long listedAt = Long.MIN_VALUE / 2;
 
         Session(Options o, long now) throws IOException {
             options = o;
@@ -513,6 +521,11 @@
             return;
         }
         Kind kind = !s.told || view.needsWhole() ? Kind.LIST : Kind.WATCH;
+        if (kind == Kind.LIST && now < s.listedAt + BETWEEN_LISTS) {
+            // Guards against a registry whose lists can't be followed: it is not read without a pause.
+            s.mainAt = s.listedAt + BETWEEN_LISTS;
+            return;
+        }
         s.main = call(s, kind, e, false);
         s.mainChannel.calls.post(s.main);
     }
@@ -598,6 +611,7 @@
         up(c);
         if (r.verdict() == View.Verdict.APPLIED) {
             s.told = true;
+            s.listedAt = now;
             if (former != null && s == current) {
                 former.end();
                 former = null;
--- a/src/main/java/magpiehub/registry/View.java
+++ b/src/main/java/magpiehub/registry/View.java
@@ -1,5 +1,6 @@
 package magpiehub.registry;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -93,12 +94,16 @@
     private record Held(Config.Entry entry, long mod) {
     }
 
+    /** Changes remembered to know a history again by; more than the keys that one burst removes. */
+    private static final int RECENT = 256;
+
+    private final ArrayDeque<Item> newest = new ArrayDeque<>();
     private Map<String, Held> byKey = new HashMap<>();
     /** The key that counts for an id, and the others that claim it. */
     private Map<String, String> owner = new HashMap<>();
     private Map<String, Set<String>> rivals = new HashMap<>();
     /** Keys that are there and name no engine, with the reason. */
-    private Map<String, String> left = new LinkedHashMap<>();
+    private Map<String, Item> left = new LinkedHashMap<>();
     private Position at = Position.NONE;
     private long version;
     private long repeats;
@@ -140,7 +145,8 @@
 
     /** Keys whose entries can't be read, and why: left out of the list. */
     public Map<String, String> unreadable() {
-        Map<String, String> m = new LinkedHashMap<>(left);
+        Map<String, String> m = new LinkedHashMap<>();
+        left.forEach((k, i) -> m.put(k, i.unreadable));
         m.values().removeIf(String::isEmpty);
         return m;
     }
@@ -244,6 +250,33 @@
         return new Result(Verdict.OLD, null, "");
     }
 
+    /**
+     * What the source says that it had at this view's position, before a watch goes on from there. Guards
+     * against a registry that went back and has since come past that position: its numbers go on as if
+     * nothing had been, and the changes in between were others.
+     *
+     * @param asked the position that was asked about
+     * @param last the key that had changed last by then, with its entry; null if there was none
+     * @param count keys in the list then
+     */
+    public Result resumed(Position of, Position asked, Item last, long count) {
+        Result no = heard(of);
+        if (no.verdict == Verdict.REREAD || !asked.equals(at)) {
+            return no;
+        }
+        Item mine = standing();
+        Held held = mine == null ? null : byKey.get(mine.key);
+        boolean same = count == keys() && (last == null ? count == 0 : mine != null
+                && mine.key.equals(last.key) && mine.mod == last.mod
+                && (held == null ? null : held.entry) == null == (last.entry == null)
+                && (held == null || held.entry.equals(last.entry)));
+        if (!same) {
+            mustRead = true;
+            return new Result(Verdict.REREAD, null, "another past at position " + asked.number);
+        }
+        return no;
+    }
+
     /**
      * What the source has, beside an open watch. Guards against a watch that stays open and says nothing:
      * what one check saw must have come by the next.
@@ -300,7 +333,10 @@
         rivals = new HashMap<>();
         left = new LinkedHashMap<>();
         Map<String, Config.Entry> nothing = new HashMap<>();
-        for (Item i : items) {
+        newest.clear();
+        List<Item> inOrder = new ArrayList<>(items);
+        inOrder.sort(java.util.Comparator.comparingLong(Item::mod));
+        for (Item i : inOrder) {
             apply(withAddress(i, oldKeys), nothing);
         }
         Map<String, Config.Entry> before = new LinkedHashMap<>();
@@ -324,7 +360,8 @@
             release(i.key, old.entry.server().id(), before);
         }
         if (i.unreadable != null) {
-            left.put(i.key, i.unreadable);
+            left.put(i.key, i);
+            remember(i);
         } else {
             left.remove(i.key);
         }
@@ -335,6 +372,7 @@
         String id = i.entry.server().id();
         touch(id, before);
         byKey.put(i.key, new Held(i.entry, i.mod));
+        remember(i);
         String other = owner.get(id);
         if (other == null || other.equals(i.key)) {
             owner.put(id, i.key);
@@ -348,6 +386,28 @@
         }
     }
 
+    private void remember(Item i) {
+        if (i.mod > 0) {
+            newest.addLast(i);
+            if (newest.size() > RECENT) {
+                newest.removeFirst();
+            }
+        }
+    }
+
+    /** The last change to a key that still is what it made it; null if that is not known any more. */
+    private Item standing() {
+        for (Item i = newest.peekLast(); i != null; i = newest.peekLast()) {
+            Held h = byKey.get(i.key);
+            Item l = left.get(i.key);
+            if (h != null && h.mod == i.mod || l != null && l.mod == i.mod) {
+                return i;
+            }
+            newest.removeLast();
+        }
+        return null;
+    }
+
     private void release(String key, String id, Map<String, Config.Entry> before) {
         touch(id, before);
         byKey.remove(key);
--- a/src/test/java/magpiehub/registry/RegistryProof.java
+++ b/src/test/java/magpiehub/registry/RegistryProof.java
@@ -319,7 +319,11 @@
                         }
 
                         @Override
-                        public void compacted(long oldest) {
+                        public void resumed(View.Position of, View.Item last, long count) {
+                        }
+
+                        @Override
+                        public void compacted(String why) {
                         }
 
                         @Override
--- a/src/test/java/magpiehub/registry/RegistryTest.java
+++ b/src/test/java/magpiehub/registry/RegistryTest.java
@@ -130,6 +130,22 @@
         client.follows(registry);
     }
 
+    /** The numbers alone go on as if nothing had been: only what stood at the client's position tells. */
+    @Test
+    public void aRegistryThatWentBackAndHasComePastTheClientIsNotMixedIn() throws Exception {
+        connect("");
+        long old = registry.rev;
+        burst(100, 20);
+        client.follows(registry);
+        registry.endpoints.forEach(e -> e.fault(Fault.DOWN));
+        registry.restore(old, registry.cluster, old);
+        burst(317, 60);
+        registry.endpoints.forEach(e -> e.fault(Fault.NONE));
+        client.follows(registry);
+        assertTrue(client.logged.toString(), !kind.equals("etcd")
+                || client.logged.indexOf("another past at position") >= 0);
+    }
+
     @Test
     public void aHigherRevisionOfAnotherHistoryIsReadWhole() throws Exception {
         connect("");
--- a/src/test/java/magpiehub/registry/StandIn.java
+++ b/src/test/java/magpiehub/registry/StandIn.java
@@ -371,6 +371,10 @@
                 if (wanted > 0) {
                     betweenPages.run();
                 }
+                if (wanted > visible()) {
+                    error(out, 400, 11, "etcdserver: mvcc: required revision is a future revision");
+                    return;
+                }
                 if (wanted > 0 && wanted < compacted) {
                     error(out, 400, 11, "etcdserver: mvcc: required revision has been compacted");
                     return;
@@ -391,7 +395,8 @@
                 g.writeArrayFieldStart("kvs");
                 for (Map.Entry<String, Version> e : some) {
                     g.writeStartObject();
-                    keyValue(g, e.getKey(), e.getValue().rev, newest ? null : e.getValue().value);
+                    keyValue(g, e.getKey(), e.getValue().rev, f.flag("keys_only", false) ? null
+                            : e.getValue().value);
                     g.writeEndObject();
                 }
                 g.writeEndArray();
