--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -291,7 +291,7 @@
     }
 
     /** The entry that the parser stands at the start of. */
-    public static Entry entry(JsonParser p, Names names) throws IOException {
+    private static Entry entry(JsonParser p, Names names) throws IOException {
         String id = null;
         String address = null;
         State state = State.LIVE;
--- a/src/main/java/magpiehub/registry/Consul.java
+++ b/src/main/java/magpiehub/registry/Consul.java
@@ -171,7 +171,8 @@
         long mod = index(f[1]);
         try {
             byte[] json = Base64.getDecoder().decode(f[2] == null ? "" : f[2]);
-            return item(key, mod, entries.read(json, key.length() > prefixLength ? key.substring(prefixLength)
+            return View.Item.read(key, mod, entries.read(json,
+                    key.length() > prefixLength ? key.substring(prefixLength)
                     : null));
         } catch (IOException | RuntimeException e) {
             return View.Item.unreadable(key, mod, Etcd.why(e));
@@ -186,10 +187,6 @@
         }
     }
 
-    private static View.Item item(String key, long mod, Config.Entry e) {
-        return e.server().state() == State.DEAD ? View.Item.gone(key, mod) : View.Item.of(key, mod, e);
-    }
-
     private static void members(JsonParser p, Etcd.Members to) throws IOException {
         if (p.currentToken() == JsonToken.START_OBJECT) {
             Etcd.members(p, to);
@@ -238,7 +235,7 @@
                 f.set("phase", "Terminating");
                 e = f.entry(id);
             }
-            return item(key, mod, e);
+            return View.Item.read(key, mod, e);
         } catch (RuntimeException e) {
             return View.Item.unreadable(key, mod, Etcd.why(e));
         }
--- a/src/main/java/magpiehub/registry/Endpoints.java
+++ b/src/main/java/magpiehub/registry/Endpoints.java
@@ -70,11 +70,6 @@
         return Arrays.stream(readyAt).min().orElseThrow();
     }
 
-    /** Failures in a row at one endpoint. */
-    public int failures(int endpoint) {
-        return failures[endpoint];
-    }
-
     /** An endpoint has answered as it should. */
     public void up(int endpoint) {
         failures[endpoint] = 0;
--- a/src/main/java/magpiehub/registry/Etcd.java
+++ b/src/main/java/magpiehub/registry/Etcd.java
@@ -244,9 +244,7 @@
         }
         try {
             String id = key.length() > prefixLength ? key.substring(prefixLength) : null;
-            Config.Entry e = entries.read(kv.value, id);
-            return e.server().state() == magpiehub.core.Contract.State.DEAD ? View.Item.gone(key, kv.mod)
-                    : View.Item.of(key, kv.mod, e);
+            return View.Item.read(key, kv.mod, entries.read(kv.value, id));
         } catch (IOException | RuntimeException e) {
             return View.Item.unreadable(key, kv.mod, why(e));
         }
@@ -254,7 +252,6 @@
 
     static String why(Exception e) {
         String m = e instanceof com.fasterxml.jackson.core.JsonProcessingException j ? j.getOriginalMessage()
-                : e instanceof java.nio.charset.CharacterCodingException ? "is no UTF-8"
                 : String.valueOf(e.getMessage());
         int source = m.indexOf(" (start marker"); // Where in Jackson's buffers: of no use to people.
         m = source < 0 ? m : m.substring(0, source);
--- a/src/main/java/magpiehub/registry/Membership.java
+++ b/src/main/java/magpiehub/registry/Membership.java
@@ -38,8 +38,6 @@
      */
     public record Options(double removalShare, int removalLeast, long confirmWithin, long halfLife,
             double suppress, double reuse, long longest, double dampedShare) {
-        /** Everything is believed as it stands. */
-        public static final Options OFF = new Options(1, 0, 0, 0, 0, 0, 0, 0);
     }
 
     private static final class Flap {
@@ -80,12 +78,6 @@
         return suppressed;
     }
 
-    /** Whether an engine is told otherwise than the registry says. */
-    public boolean doubted(String id) {
-        Flap f = flaps.get(id);
-        return held.contains(id) || f != null && f.suppressed;
-    }
-
     /** Whole lists doubted, engines damped, and engines not damped for the share's sake, since the start. */
     public long[] figures() {
         return new long[] {doubts, damped, spared};
--- a/src/main/java/magpiehub/registry/Registry.java
+++ b/src/main/java/magpiehub/registry/Registry.java
@@ -580,17 +580,21 @@
         journal.count("registry_rereads");
         journal.log("registry-reread", "endpoint", endpoint(c), "why", r.why(), "history",
                 view.position().history(), "position", Long.toString(view.position().number()));
-        if (r.why().startsWith("the ")) {
-            // A mute watch: its endpoint is not the one to read the list from.
+        if (r.why().equals(View.MUTE) || r.why().equals(View.COUNT_DIFFERS)) {
             s.endpoints.suspect(c.endpoint, now);
         }
-        Call watch = s.main;
+        leave(s, now);
+        return true;
+    }
+
+    /** Ends the main call, whose words no longer count; the next one is made at a time. */
+    private static void leave(Session s, long next) {
+        Call c = s.main;
         s.main = null;
-        s.mainAt = now;
-        if (watch != null) {
-            watch.cancel();
+        s.mainAt = next;
+        if (c != null) {
+            c.cancel();
         }
-        return true;
     }
 
     private void whole(Call c, View.Position to, List<View.Item> items) {
@@ -666,7 +670,7 @@
         View.Result r = view.checked(of, c.asked, newest, count);
         if (!reread(c.session.main, r)) {
             up(c);
-            if (r.why().equals("ahead")) {
+            if (view.ahead()) {
                 c.session.checkAt = c.startedAt + Math.min(SOON, c.session.options.checkEvery());
                 c.session.main.lastWord = c.session.checkAt - c.session.options.checkEvery();
             }
@@ -716,10 +720,7 @@
             s.mainAt = Math.max(now, s.endpoints.readyAt());
         } else if (s.main != null && s.main.endpoint == c.endpoint && s.main.kind == Kind.WATCH) {
             // The watch's endpoint no longer answers: a quiet watch on it can't be told from a dead one.
-            Call watch = s.main;
-            s.main = null;
-            s.mainAt = Math.max(now, s.endpoints.readyAt());
-            watch.cancel();
+            leave(s, Math.max(now, s.endpoints.readyAt()));
         }
     }
 
--- a/src/main/java/magpiehub/registry/View.java
+++ b/src/main/java/magpiehub/registry/View.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import magpiehub.config.Config;
+import magpiehub.core.Contract.State;
 
 /**
  * One list of engines out of what sources say: whole lists, changes, and words such as "compacted". It is a
@@ -55,9 +56,11 @@
             return new Item(key, mod, null, why);
         }
 
-        /** A key whose engine is told to be gone: there, but not in the list. */
-        public static Item gone(String key, long mod) {
-            return new Item(key, mod, null, "");
+        /** An entry as its value has it; a key whose engine is told to be gone is there, but not in the list.
+         *  */
+        public static Item read(String key, long mod, Config.Entry entry) {
+            return entry.server().state() == State.DEAD ? new Item(key, mod, null, "")
+                    : of(key, mod, entry);
         }
     }
 
@@ -94,6 +97,9 @@
     private record Held(Config.Entry entry, long mod) {
     }
 
+    /** What {@link #checked} says of a watch whose endpoint is not the one to read the list from. */
+    static final String MUTE = "the watch is mute";
+    static final String COUNT_DIFFERS = "the count differs";
     /** Changes remembered to know a history again by; more than the keys that one burst removes. */
     private static final int RECENT = 256;
 
@@ -297,9 +303,14 @@
         oddAt = odd ? at : null;
         if (late || stillOdd) {
             mustRead = true;
-            return new Result(Verdict.REREAD, null, late ? "the watch is mute" : "the count differs");
+            return new Result(Verdict.REREAD, null, late ? MUTE : COUNT_DIFFERS);
         }
-        return new Result(Verdict.OLD, null, owed > at.number || odd ? "ahead" : "");
+        return new Result(Verdict.OLD, null, "");
+    }
+
+    /** Whether the last check saw what the watch has not told yet. */
+    public boolean ahead() {
+        return owed > at.number || oddAt != null;
     }
 
     /** The source no longer has the changes that would follow. */
--- a/src/main/java/magpiehub/registry/Wire.java
+++ b/src/main/java/magpiehub/registry/Wire.java
@@ -55,7 +55,6 @@
     private volatile long heard;
     private volatile boolean closed;
     private Http.Input in;
-    private boolean used;
 
     /** A connection that {@link #open} makes; {@code bytes} takes the count of what is read. */
     Wire(String endpoint, SSLContext tls, Mailbox.Clock clock, AtomicLong bytes) {
@@ -134,11 +133,6 @@
         return heard;
     }
 
-    /** Whether an answer has come on it: then an end before the next one may be the idle connection's. */
-    boolean used() {
-        return used;
-    }
-
     /** Sends a call and reads the head of its answer; anything but 200 is {@link Refused}, with {@code also}
      *  let through besides. Header values must not hold line ends. */
     Http.Head ask(String method, String target, byte[] body, int also, String... headers) throws IOException {
@@ -161,7 +155,6 @@
             throw new java.io.EOFException("ended before an answer");
         }
         Http.Head h = in.head(false);
-        used = true;
         if (h.status() != 200 && h.status() != also) {
             throw new Refused(h.status(), text(h), retryAfter(h));
         }
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -31,7 +31,8 @@
         return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8));
     }
 
-    private static String until(BufferedReader in, String part) throws IOException {
+    /** The first line with a part; fails with all that came if the text ends before. */
+    public static String until(BufferedReader in, String part) throws IOException {
         StringBuilder seen = new StringBuilder();
         for (String l = in.readLine(); l != null; l = in.readLine()) {
             seen.append(l).append('\n');
@@ -66,7 +67,7 @@
         return b.redirectErrorStream(true).start();
     }
 
-    private static void hangUp(Process p) throws Exception {
+    public static void hangUp(Process p) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor());
     }
 
--- a/src/test/java/magpiehub/registry/ServeRegistryTest.java
+++ b/src/test/java/magpiehub/registry/ServeRegistryTest.java
@@ -1,5 +1,7 @@
 package magpiehub.registry;
 
+import static magpiehub.ServeTest.hangUp;
+import static magpiehub.ServeTest.until;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
@@ -22,17 +24,6 @@
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
 
-    private static String until(BufferedReader in, String part) throws Exception {
-        StringBuilder seen = new StringBuilder();
-        for (String l = in.readLine(); l != null; l = in.readLine()) {
-            seen.append(l).append('\n');
-            if (l.contains(part)) {
-                return l;
-            }
-        }
-        throw new AssertionError("no line has " + part + ": " + seen);
-    }
-
     private void registry(StandIn of, String more) throws Exception {
         Path deploy = folder.getRoot().toPath().resolve("deploy");
         Files.createDirectories(deploy);
@@ -111,8 +102,4 @@
             }
         }
     }
-
-    private static void hangUp(Process p) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor());
-    }
 }
