Send cold replicas their due by the fleet's warmth and by a rate without bias

At fault: Rules.coldAllows. It divided what was sent by the whole time constant, so that a node just started took itself for idle and sent cold replicas nothing; it took cold replicas for whole ones when it shared out the fleet's work; and it halved the rest. Change: the rate is divided by the time that it was counted over, shares go by warmth (twice at most), 1.2 times the promised capacity is sent, half within the first window of rule 4. A test hosts 14 fresh nodes on a fleet of 16 warm and 24 cold: 0.01 of a warm one's work before, over 0.12 now.

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -79,8 +79,11 @@
      *  twice that time, and none could: a cut is learnt once, not replica by replica. */
     private static final long ZONE_PAUSE = 1_000_000;
     private static final int ZONE_FAILURES = 3;
-    /** A cold replica gets this part of its due by capacity: its tokens are gone, each request costs more. */
-    private static final double COLD_CARE = 0.5;
+    /** A cold replica gets so many times its due by the capacity promised for its age, which is the least: sent
+     *  less it idles while the warm ones drown, though its tokens are gone and each request costs more. Within
+     *  the first window of rule 4, when one burst may spend the budget, it gets less. */
+    private static final double COLD_CARE = 1.2;
+    private static final double COLD_FIRST = 0.5;
     /** Health check period (us) for a replica unheard of that long, over all nodes together. */
     private static final long CHECK_PERIOD = 10_000_000;
     /** Part of the keys that stay in the own zone where crossing has a price: the most, its steps up and
@@ -151,6 +154,10 @@
     private long lastControl;
     private final double[] allowance;
     private long allowanceAt;
+    private final long startedAt;
+    /** Replicas that are ready, each by its warmth, and when that was summed. */
+    private double warm;
+    private long warmAt = NEVER / 2;
 
     /** A node that has just started and knows nothing. */
     public Rules(Settings settings, long seed, Contract.Actions actions, long now) {
@@ -168,6 +175,7 @@
         allowance = new double[s.tenants().size()];
         stay = s.costs().crossZone() > 0 && s.zones() > 1 ? 0.5 : 0;
         allowanceAt = now;
+        startedAt = now;
         seenAt = now;
         sentAt = now;
         lastControl = now;
@@ -279,6 +287,7 @@
             }
         }
         readyCount = ready.size();
+        warmAt = NEVER / 2;
         // A zone with few replicas keeps fewer keys; what others spill lands there too.
         double mean = 0;
         for (int n : inZone) { mean += Math.min(1, (double) n / Math.max(1, readyCount) * inZone.length); }
@@ -854,18 +863,37 @@
         r.limit = 64;
     }
 
+    /** Part of its capacity that a replica has by now, by the least that the site promises. */
+    private double warmth(Replica r) {
+        double start = s.guarantees().startCapacity();
+        double age = (double) (now - r.coldSince) / Math.max(1, s.guarantees().cold());
+        return r.coldSince == NEVER || age >= 1 ? 1 : start + (1 - start) * Math.max(0, age);
+    }
+
+    /** The same for all that are ready, in replicas; while many are cold, each one's due is larger, by a
+     *  factor of two at most. Summed once a sweep. */
+    private double warmth() {
+        if (now - warmAt >= SWEEP) {
+            warmAt = now;
+            warm = 0;
+            for (Replica r : fleet) { warm += r.ready ? warmth(r) : 0; }
+        }
+        return Math.max(warm, 0.5 * readyCount);
+    }
+
     private boolean coldAllows(Replica r) {
         if (r.coldSince == NEVER) { return true; }
-        double age = (double) (now - r.coldSince) / Math.max(1, s.guarantees().cold());
-        if (age >= 1) {
+        double part = warmth(r);
+        if (part >= 1) {
             r.coldSince = NEVER;
             return true;
         }
-        double start = s.guarantees().startCapacity();
-        double part = start + (1 - start) * Math.max(0, age);
-        // By what was sent, not asked: under overload clients ask several times over.
-        double perReplica = r.part * sent / SHARE_TAU / Math.max(1, readyCount);
-        r.coldTokens = Math.min(1, r.coldTokens + perReplica * part * COLD_CARE * (now - r.coldAt));
+        // By what was sent, not asked: under overload clients ask several times over. A node that has just
+        // started has sent for a short time only: by the whole time constant it would count as idle.
+        double perTime = sent / (SHARE_TAU * -Math.expm1(Math.min(-0.1, (startedAt - now) / SHARE_TAU)));
+        double perReplica = r.part * perTime / Math.max(1, warmth());
+        double care = now - r.coldSince < s.guarantees().fall() ? COLD_FIRST : COLD_CARE;
+        r.coldTokens = Math.min(1, r.coldTokens + perReplica * part * care * (now - r.coldAt));
         r.coldAt = now;
         return r.coldTokens >= 1;
     }
--- a/src/test/java/magpiehub/core/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -231,6 +231,47 @@
         assertTrue(total <= 6, "sent to the cold one: " + total);
     }
 
+    @Test
+    void freshNodesShareALargelyReplacedFleetByItsCapacity() {
+        int nodes = 14;
+        int warm = 16;
+        int fleet = 40;
+        Contract.Settings t = Bench.settings(nodes);
+        Contract.Guarantees g = new Contract.Guarantees(8_000, 10 * S, 9 * S, S, 4, 0.3, 2 * S);
+        Map<String, Integer> sent = new HashMap<>();
+        Map<String, Integer> firstSecond = new HashMap<>();
+        for (int me = 0; me < nodes; me++) {
+            Bench b = new Bench(new Contract.Settings(me, nodes, me % 2, 2, false, false, t.weights(), 0.1,
+                    t.classes(), t.tenants(), t.limits(), g, t.costs()));
+            List<Contract.Server> list = new java.util.ArrayList<>();
+            for (int i = 0; i < fleet; i++) {
+                list.add(Bench.server(names(fleet)[i], State.LIVE, i < warm ? 0 : b.now));
+            }
+            b.node.list(b.now, ListKind.COMPLETE, list);
+            for (int i = 0; i < 50; i++) {
+                String at = b.serve(0, 1000L * me + i + 1);
+                sent.merge(at, 1, Integer::sum);
+                firstSecond.merge(at, i < 12 ? 1 : 0, Integer::sum);
+                b.pass(80_000);
+            }
+        }
+        double toWarm = 0;
+        double toCold = 0;
+        for (int i = 0; i < fleet; i++) {
+            toWarm += i < warm ? sent.getOrDefault(names(fleet)[i], 0) : 0;
+            toCold += i < warm ? 0 : sent.getOrDefault(names(fleet)[i], 0);
+        }
+        double part = toCold / (fleet - warm) / (toWarm / warm);
+        // Within 4 s their capacity is 0.3 to 0.61 of a warm one's. Nodes that take their own youth for a
+        // lack of traffic sent them 0.01 of a warm one's work, and the warm ones drowned.
+        assertTrue(part > 0.12 && part < 0.61, "a cold replica's part of a warm one's work: " + part);
+        double each = 175.0 / fleet;
+        for (int i = warm; i < fleet; i++) {
+            int n = firstSecond.getOrDefault(names(fleet)[i], 0);
+            assertTrue(n <= 4 * 0.3 * 2 * each, "to one cold replica within its first second: " + n);
+        }
+    }
+
     @Test
     void sideEffectGoesOutAgainOnlyIfItNeverRan() {
         Bench b = new Bench(Bench.settings(1, Bench.cls(Effect.SIDE_EFFECT, Group.ALL))).list(names(6));
