--- a/src/main/java/magpiehub/Rehearsal.java
+++ b/src/main/java/magpiehub/Rehearsal.java
@@ -121,6 +121,9 @@
                                     + "prompt_len=9\r\nContent-Length: 2\r\n\r\n{}")
                                     .getBytes(StandardCharsets.US_ASCII));
                             head(s.getInputStream());
+                            if (i < 2) {
+                                head(s.getInputStream()); // To the stream's last chunk.
+                            }
                         }
                         status = 0;
                     } else {
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -103,6 +103,20 @@
         }
     }
 
+    @Test
+    public void aRehearsalServesAndEnds() throws Exception {
+        Process p = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-cp",
+                System.getProperty("java.class.path"), "magpiehub.Main", "rehearse")
+                .redirectErrorStream(true).start();
+        try (BufferedReader log = p.inputReader()) {
+            assertTrue(until(log, " counters ").contains("answered_served=\"2\""));
+            assertTrue(p.waitFor(30, TimeUnit.SECONDS));
+            assertEquals(0, p.exitValue());
+        } finally {
+            p.destroyForcibly();
+        }
+    }
+
     /** The process is ended whether or not engines answer: nothing is to be left without a word. */
     @Test
     public void whatHasNotBegunIsRefusedBeforeTheEnd() throws Exception {
