Add the operators' console, maintenance, standby, and a listening socket shared with a new version

No console, no ban, no standby existed.

Change: ops.Console (one line a connection, bounded callers), ops.Maintenance (a plain state machine), ops.StateFile and ops.Operators (its file under $TMPDIR, shared by two processes), registry.Told (the ban folded into the list at the last step for every source), net.Door (own or inherited socket), standby and orderly emptying in net.Clients. A connection is no longer closed as idle while a request comes in.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -13,8 +16,11 @@
 import magpiehub.front.MessagesFront;
 import magpiehub.front.PlatformFront;
 import magpiehub.net.Clients;
+import magpiehub.net.Door;
 import magpiehub.net.Engines;
+import magpiehub.ops.Console;
 import magpiehub.ops.Log;
+import magpiehub.ops.Operators;
 import magpiehub.registry.Announcer;
 import magpiehub.registry.Discovery;
 import magpiehub.registry.Options;
@@ -108,31 +114,50 @@
         AtomicBoolean warm = new AtomicBoolean();
         BooleanSupplier ready = () -> warm.get() && discovery.known();
         PlatformFront platform = new PlatformFront(r.site());
-        Clients clients = new Clients(Config.socketAddress(r.listen()), platform, module,
+        Door door = r.inherited() ? Door.inherited() : Door.bind(Config.socketAddress(r.listen()));
+        Clients clients = new Clients(door, platform, module,
                 clock, log,
                 ready, counters, forClients * 15 / 16 - 4, crew, streams);
-        clients.start();
+        if (!clients.shared()) {
+            clients.start();
+        }
         // The next two are off unless a file of the deployment's gives their address; the platform has none.
         MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
         Store store = ReplicatedStore.read(Path.of("deploy/store.json"), r.name(), clock, log);
-        Clients messages = options == null ? null : new Clients(Config.socketAddress(options.listen()),
-                new MessagesFront(r.site(), options, store), module, clock, log, ready, counters,
+        Clients messages = options == null ? null : new Clients(
+                Door.bind(Config.socketAddress(options.listen())), new MessagesFront(r.site(), options,
+                        store), module, clock, log, ready, counters,
                         MESSAGES_CLIENTS, crew, streams);
         if (messages != null) {
             messages.start();
             log.log("messages-front", "listen", options.listen());
         }
         List<Clients> fronts = messages == null ? List.of(clients) : List.of(clients, messages);
+        Operators operators = operators(r, fronts, discovery, ready, clock, log);
         discovery.start(module, r.known());
+        if (operators != null) {
+            operators.start();
+            Console console = new Console(Config.socketAddress(r.console()), operators::call, log);
+            console.start();
+            log.log("console", "listen", r.console().substring(0, r.console().lastIndexOf(':') + 1)
+                    + console.port());
+        }
         Mailbox.thread("reload", () -> reload(r, hangups, discovery, log)).start();
         Mailbox.thread("module", module::run).start();
         boolean resume = r.site().settings().resume();
         AtomicReference<Announcer> announcer = new AtomicReference<>();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, resume, log, store,
-                r.name(), announcer.get())));
+                r.name(), announcer.get(), operators)));
         WarmUp.run(WarmUp.FEW);
         platform.warm();
         warm.set(true);
+        if (clients.shared()) {
+            // Not before: what comes to a socket that an older process serves too is left to it until then.
+            clients.start();
+        }
+        if (operators != null) {
+            operators.serving();
+        }
         // The port that was given, where the configuration leaves it open with 0.
         String listen = r.listen().substring(0, r.listen().lastIndexOf(':') + 1) + clients.port();
         log.log("started", "listen", listen);
@@ -151,6 +176,38 @@
         }
     }
 
+    /** What operators may do to this router; null where no address is given for their calls. */
+    private static Operators operators(Config.Router r, List<Clients> fronts, Source source,
+            BooleanSupplier ready, Mailbox.Clock clock, Log log) {
+        if (r.console() == null) {
+            return null;
+        }
+        String tmp = System.getenv("TMPDIR");
+        long offset = clock.micros() - System.currentTimeMillis() * 1000;
+        Operators.Hands hands = new Operators.Hands() {
+            @Override
+            public boolean ready() {
+                return ready.getAsBoolean();
+            }
+
+            @Override
+            public void engines(Set<String> out, Map<String, Long> back, Runnable done) {
+                Map<String, Long> at = new HashMap<>();
+                back.forEach((id, ms) -> at.put(id, offset + ms * 1000));
+                source.maintain(out, at, done);
+            }
+
+            @Override
+            public void standby(boolean on) {
+                fronts.forEach(c -> c.standby(on));
+            }
+        };
+        Operators operators = new Operators(Path.of(tmp == null || tmp.isEmpty()
+                ? System.getProperty("java.io.tmpdir") : tmp), r.name(), hands, clock, log);
+        source.told().listed(operators::listed);
+        return operators;
+    }
+
     /** SIGHUP: the file is read again. A file that can't be used changes nothing; discovery's address is
      *  followed at once, and what else differs is named in the log, for it takes a restart. */
     private static void reload(Config.Router started, Mailbox<Object> hangups, Source discovery, Log log) {
@@ -189,9 +246,19 @@
     /** SIGTERM: new connections for the hand-over, then those that clients have, then only what is held, then
      *  the counters and the end. */
     private static void stop(List<Clients> fronts, ModuleActor module, boolean resume,
-            Log log, Store store, String name, Announcer announcer) {
+            Log log, Store store, String name, Announcer announcer, Operators operators) {
         try {
-            log.log("stopping", "held", Integer.toString(module.held()));
+            boolean succeeded = operators != null && operators.succeeded()
+                    && fronts.stream().anyMatch(Clients::shared);
+            log.log("stopping", "held", Integer.toString(module.held()), "succeeded",
+                    Boolean.toString(succeeded));
+            if (succeeded) {
+                // Another process takes what comes from now on; clients here move over little by little.
+                for (Clients c : fronts) {
+                    c.stopAccepting();
+                    c.empty(Mailbox.Clock.SYSTEM.micros() + KEEP_MS * 1000);
+                }
+            }
             if (store != null) {
                 store.put("router/" + name, "stopping");
             }
@@ -204,7 +271,7 @@
                     for (Clients c : fronts) {
                         c.stopAccepting();
                     }
-                } else if (ms == KEEP_MS) {
+                } else if (ms == KEEP_MS && !succeeded) {
                     fronts.forEach(Clients::closeIdle);
                 } else if (ms == LET_GO_MS) {
                     module.letGo(resume);
@@ -216,6 +283,9 @@
         } catch (IOException | InterruptedException e) {
             log.log("stop-failed", "error", e.toString());
         } finally {
+            if (operators != null) {
+                operators.ended();
+            }
             log.logCounters();
             log.log("stopped", "held", Integer.toString(module.held()));
             log.flush();
--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -66,15 +66,18 @@
     }
 
     /** A router's own configuration. {@code known} is the list as JSON, in discovery's form; {@code file} is
-     *  what the file said, for comparing it with a later one. */
-    public record Router(String name, String listen, String discovery, long seed, int memoryMb, int sockets,
+     * what the file said, for comparing it with a later one. {@code console} is where operators call, null
+     * if
+     *  nowhere; {@code inherited} says that the clients' listening socket is descriptor 0. */
+    public record Router(String name, String listen, String console, boolean inherited, String discovery,
+            long seed, int memoryMb, int sockets,
             byte[] known, Site site, Map<String, Object> file) {
         /** The members of the file in which a later file differs, settings by their own names. The list and
          *  the seed belong to a start, and discovery's address is followed at once: these don't count. */
         public List<String> changes(Router later) {
             List<String> names = new ArrayList<>();
             differences(file, later.file, "", names);
-            names.removeAll(List.of("known", "seed", "discovery"));
+            names.removeAll(List.of("known", "seed", "discovery", "console"));
             return names;
         }
     }
@@ -362,7 +365,8 @@
         Object known = f.map().get("known");
         return new Router(said(env, "ROUTER_NAME", f.text("name", null)),
                 address(said(env, "ROUTER_LISTEN", f.text("listen", null))),
-                discovery(env, f.text("discovery", null)), seed(f.map().get("seed")),
+                optional(env, "ROUTER_CONSOLE", f.text("console", null)), inherited(env.get("ROUTER_FD")),
+                optional(env, "ROUTER_DISCOVERY", f.text("discovery", null)), seed(f.map().get("seed")),
                 (int) limits.number("memory_mb", 192), (int) limits.number("sockets", 1024),
                 known == null ? null : write(known), site(f.object("settings")), f.map());
     }
@@ -414,11 +418,20 @@
         }
     }
 
-    /** Null where nothing names it: an installation may have a registry of its own. */
-    private static String discovery(Map<String, String> env, String file) {
-        String variable = env.get("ROUTER_DISCOVERY");
-        return file == null && (variable == null || variable.isEmpty()) ? null
-                : address(said(env, "ROUTER_DISCOVERY", file));
+    /** Null where nothing names it: an installation may have a registry of its own, and no console. */
+    private static String optional(Map<String, String> env, String variable, String file) {
+        String v = env.get(variable);
+        return file == null && (v == null || v.isEmpty()) ? null : address(said(env, variable, file));
+    }
+
+    private static boolean inherited(String descriptor) {
+        if (descriptor == null || descriptor.isEmpty()) {
+            return false;
+        }
+        if (!descriptor.strip().equals("0")) {
+            throw new Malformed("ROUTER_FD must be 0, the one that can be inherited: " + descriptor);
+        }
+        return true;
     }
 
     private static String said(Map<String, String> env, String variable, String otherwise) {
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -63,6 +61,14 @@
     /** After a client has closed its sending side: when it is first asked for a sign that it reads on, and
      *  how often after that (us). The answer to the first word is what the second one meets. */
     private static final long FIRST_SIGN = 20_000;
+    /** Standby: those who send clients hear of it within 0.2 s, and until then a client that is let go may
+     * come
+     * back here; from the first time on (us) each answer is its connection's last, and by the second the
+     * idle
+     *  ones are gone, the longest idle first and not all at once. What a client asks for then has two seconds
+     *  before somebody looks whether all are gone. */
+    private static final long LET_GO_AFTER = 250_000;
+    private static final long EMPTY_AFTER = 1_600_000;
     private static final long SIGN = 1_000_000;
 
     private final Front front;
@@ -72,7 +78,7 @@
     private final BooleanSupplier ready;
     private final Supplier<String> counters;
     private final int most;
-    private final ServerSocket server = new ServerSocket();
+    private final Door door;
     private final Mailbox.Crew crew;
     private final Streams streams;
     private final long mailboxBytes;
@@ -82,11 +88,16 @@
     /** Bytes of request bodies read or being read, and not yet answered or begun. */
     private final AtomicLong inHand = new AtomicLong();
     private volatile boolean closing;
+    /** While clients are sent away: since when (us); 0 while they are taken. */
+    private volatile long standbySince;
+    /** By when the last idle connection is to be gone (us); 0 while none need go. */
+    private volatile long emptyBy;
 
     /** A listener that is bound but accepts nothing until {@link #start}. */
-    public Clients(InetSocketAddress listen, Front front, ModuleActor module, Mailbox.Clock clock,
+    public Clients(Door door, Front front, ModuleActor module, Mailbox.Clock clock,
             ModuleActor.Journal journal, BooleanSupplier ready, Supplier<String> counters, int most,
-            Mailbox.Crew crew, Streams streams) throws IOException {
+            Mailbox.Crew crew, Streams streams) {
+        this.door = door;
         this.crew = crew;
         this.streams = streams;
         this.mailboxBytes = MAILBOX_BYTES + streams.largestBuffer();
@@ -97,12 +108,10 @@
         this.ready = ready;
         this.counters = counters;
         this.most = most;
-        server.setReuseAddress(true);
-        server.bind(listen, 512);
     }
 
     public int port() {
-        return server.getLocalPort();
+        return door.port();
     }
 
     public void start() {
@@ -133,7 +142,7 @@
     private void times() {
         Mailbox<Object> nothing = new Mailbox<>(clock, 0);
         try {
-            while (!server.isClosed() || !open.isEmpty()) {
+            while (!door.isClosed() || !open.isEmpty()) {
                 nothing.take(clock.micros() + TICK);
                 long now = clock.micros();
                 for (Connection c : open) {
@@ -142,6 +151,7 @@
                     }
                     c.cutIfStuck(now, Long.MAX_VALUE, Ending.READER_STUCK);
                 }
+                letGoIdle(now);
                 crew.check();
             }
         } catch (InterruptedException e) {
@@ -150,10 +160,10 @@
     }
 
     private void accept() {
-        while (!server.isClosed()) {
+        while (!door.isClosed()) {
             Socket s = null;
             try {
-                s = server.accept();
+                s = door.accept();
                 s.setTcpNoDelay(true);
                 if (streams.allowances().sendBuffer() > 0) {
                     s.setSendBufferSize(streams.allowances().sendBuffer());
@@ -166,14 +176,14 @@
                 }
                 new Connection(s, !room).start();
                 journal.count("clients_accepted");
-                while (open.size() >= most + most / 16 + 4 && !server.isClosed()) {
+                while (open.size() >= most + most / 16 + 4 && !door.isClosed()) {
                     synchronized (open) {
                         open.wait(50);
                     }
                     makeRoom();
                 }
             } catch (IOException | OutOfMemoryError e) {
-                if (!server.isClosed()) {
+                if (!door.isClosed()) {
                     // Out of descriptors or threads: what is open goes on, and the next one is tried.
                     journal.count("accept_failures");
                     journal.log("accept-failure", "error", e.toString());
@@ -225,9 +235,58 @@
         return n;
     }
 
+    /** Sends clients away, or takes them again: {@code /up} says no, and connections are let go in order. The
+     *  door stays open: who comes all the same gets an answer. */
+    public void standby(boolean on) {
+        long now = clock.micros();
+        if (on == (standbySince != 0)) {
+            return;
+        }
+        standbySince = on ? now : 0;
+        emptyBy = on ? now + EMPTY_AFTER : 0;
+    }
+
+    /** Whether another process takes what comes to the door once this one accepts no more. */
+    public boolean shared() {
+        return door.shared();
+    }
+
+    /** Lets idle connections go until a time, the longest idle first; each answer is its connection's last.
+     */
+    public void empty(long by) {
+        closing = true;
+        emptyBy = by;
+    }
+
+    private boolean sentAway() {
+        long since = standbySince;
+        return since != 0 && clock.micros() - since >= LET_GO_AFTER;
+    }
+
+    /** The part of the idle connections that is due by now. Guards against a herd: those clients connect
+     *  somewhere else at once. */
+    private void letGoIdle(long now) {
+        long by = emptyBy;
+        if (by == 0 || standbySince != 0 && !sentAway()) {
+            return;
+        }
+        List<Connection> quiet = new ArrayList<>();
+        for (Connection c : open) {
+            if (c.quietSince != BUSY && c.asked && !c.leaving) {
+                quiet.add(c);
+            }
+        }
+        quiet.sort(Comparator.comparingLong(c -> c.quietSince));
+        int due = now >= by ? quiet.size() : (int) (quiet.size() * TICK / (by - now + TICK) + 1);
+        for (Connection c : quiet.subList(0, Math.min(due, quiet.size()))) {
+            c.leaving = true;
+            c.mailbox.post(new CloseIfIdle());
+        }
+    }
+
     /** Accepts no more; connections that clients have are served on. */
     public void stopAccepting() throws IOException {
-        server.close();
+        door.close();
     }
 
     /** Closes what is idle, and the rest with its answer; requests in hand go on. */
@@ -611,7 +670,7 @@
         }
 
         private boolean last() {
-            return closing || shed || lingering || lastAnswer;
+            return closing || shed || lingering || lastAnswer || sentAway();
         }
 
         private void handle(Object m) {
@@ -706,8 +765,25 @@
                     handle(new Malformed(408, "no request in time"));
                 }
             } else if (m instanceof CloseIfIdle) {
-                lingering = lingering || current == null && ahead.isEmpty();
+                closeIfIdle();
+            }
+        }
+
+        /** Guards against closing on a request that has begun to come in: it gets its answer, the last one.
+         */
+        private void closeIfIdle() {
+            if (current != null || !ahead.isEmpty() || lingering) {
+                return;
+            }
+            boolean coming = reading;
+            try {
+                coming |= socket.getInputStream().available() > 0;
+            } catch (IOException e) {
+                ended = true;
+                return;
             }
+            lastAnswer |= coming;
+            lingering = !coming;
         }
 
         /** Room is needed. A request that has begun to come in meanwhile keeps the connection, unless the
@@ -749,7 +825,8 @@
             String path = a.head.start[1];
             if (path.equals("/up") || path.equals("/counters")) {
                 boolean get = a.head.start[0].equals("GET") || a.head.start[0].equals("HEAD");
-                int status = !get ? 405 : path.equals("/up") && !ready.getAsBoolean() ? 503 : 200;
+                int status = !get ? 405 : path.equals("/up") && (standbySince != 0
+                        || !ready.getAsBoolean()) ? 503 : 200;
                 String text = path.equals("/counters") ? counters.get() : status == 200 ? "up\n"
                         : "not ready\n";
                 Http.answer(out, status, "text/plain; charset=utf-8",
--- /dev/null
+++ b/src/main/java/magpiehub/ops/Maintenance.java
@@ -0,0 +1,142 @@
+package magpiehub.ops;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What operators have said: the engines that are taken out, those that have been called back, every id
+ * that was ever listed, and standby or active. It owns the meaning of the calls. It is a plain state
+ * machine over one immutable value, with the time as an argument: it must never do I/O, and it carries
+ * nothing out by itself.
+ */
+public final class Maintenance {
+    /** Ids remembered at most; beyond that the ones first listed are forgotten, never those taken out. */
+    static final int MOST_LISTED = 20_000;
+    /** How long a call back is remembered (ms): longer than any engine stays cold. */
+    private static final long BACK_MS = 600_000;
+
+    /**
+     * All of it, as both processes of an upgrade share it.
+     *
+     * @param version grows with each change
+     * @param standby true while clients are sent away
+     * @param banned ids of engines that are taken out
+     * @param back engines that were called back, with when (Unix time, ms): they have been restarted
+     * @param listed every id ever listed, in the order of their coming
+     * @param routers processes that serve, by id, the newest last
+     */
+    public record Held(long version, boolean standby, Set<String> banned, Map<String, Long> back,
+            Set<String> listed, Set<Long> routers) {
+        /** Before anybody said anything. */
+        public static final Held NOTHING = new Held(0, false, Set.of(), Map.of(), Set.of(), Set.of());
+
+        /** With more ids that are or were listed. */
+        public Held listed(Collection<String> ids) {
+            if (listed.containsAll(ids)) {
+                return this;
+            }
+            Set<String> all = new LinkedHashSet<>(listed);
+            all.addAll(ids);
+            for (var i = all.iterator(); all.size() > MOST_LISTED && i.hasNext();) {
+                if (!banned.contains(i.next())) {
+                    i.remove();
+                }
+            }
+            return new Held(version + 1, standby, banned, back, all, routers);
+        }
+
+        /** With a process that serves now, as the newest, and without those that have gone. */
+        public Held serving(long router, Collection<Long> gone) {
+            Set<Long> all = new LinkedHashSet<>(routers);
+            all.removeAll(gone);
+            all.remove(router);
+            all.add(router);
+            return new Held(version + 1, standby, banned, back, listed, all);
+        }
+
+        /** Without a process that has ended. */
+        public Held without(long router) {
+            Set<Long> all = new LinkedHashSet<>(routers);
+            return all.remove(router) ? new Held(version + 1, standby, banned, back, listed, all) : this;
+        }
+
+        private Held standby(boolean on) {
+            return on == standby ? this : new Held(version + 1, on, banned, back, listed, routers);
+        }
+
+        private Held banned(String id) {
+            if (banned.contains(id)) {
+                return this;
+            }
+            Set<String> all = new LinkedHashSet<>(banned);
+            all.add(id);
+            Map<String, Long> b = new LinkedHashMap<>(back);
+            b.remove(id);
+            return new Held(version + 1, standby, all, b, listed, routers);
+        }
+
+        private Held back(String id, long unixMs) {
+            if (!banned.contains(id)) {
+                return this;
+            }
+            Set<String> all = new LinkedHashSet<>(banned);
+            all.remove(id);
+            Map<String, Long> b = new LinkedHashMap<>(back);
+            b.values().removeIf(t -> unixMs - t > BACK_MS);
+            b.put(id, unixMs);
+            return new Held(version + 1, standby, all, b, listed, routers);
+        }
+    }
+
+    /**
+     * What comes of a call.
+     *
+     * @param after what holds from now on; the same value if nothing changes
+     * @param refused why not; null if the call is granted
+     * @param said what is answered behind SUCCESS
+     * @param asks true for a call that only asks
+     */
+    public record Verdict(Held after, String refused, String said, boolean asks) {
+    }
+
+    private Maintenance() {
+    }
+
+    /** One call on what holds now. {@code ready} tells whether this process can serve. */
+    public static Verdict call(Held h, String line, boolean ready, long unixMs) {
+        String[] words = line.strip().split(" +");
+        String verb = words[0];
+        boolean engine = verb.equals("maint-on") || verb.equals("maint-off");
+        boolean known = engine || verb.equals("status") || verb.equals("standby") || verb.equals("active");
+        if (!known) {
+            return no(h, verb.isEmpty() ? "no call" : "unknown call; status, maint-on ID, maint-off ID,"
+                    + " standby and active are known");
+        }
+        if (words.length != (engine ? 2 : 1)) {
+            return no(h, engine ? verb + " takes one id" : verb + " takes nothing more");
+        }
+        if (engine && !h.listed.contains(words[1]) && !h.banned.contains(words[1])) {
+            return no(h, "no engine of that id was ever listed");
+        }
+        return switch (verb) {
+            case "status" -> !ready ? no(h, "not ready")
+                    : new Verdict(h, null, (h.standby ? "standby" : "active") + " out=" + h.banned.size(),
+                            true);
+            case "standby" -> yes(h.standby(true), "standby");
+            case "active" -> yes(h.standby(false), "active");
+            case "maint-on" -> yes(h.banned(words[1]), "out " + words[1]);
+            default -> yes(h.back(words[1], unixMs), "back " + words[1]);
+        };
+    }
+
+    private static Verdict yes(Held h, String said) {
+        return new Verdict(h, null, said, false);
+    }
+
+    private static Verdict no(Held h, String why) {
+        return new Verdict(h, why, null, false);
+    }
+}
--- a/src/main/java/magpiehub/registry/Discovery.java
+++ b/src/main/java/magpiehub/registry/Discovery.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
 import magpiehub.core.Contract.State;
@@ -40,6 +42,9 @@
     private record Move(String address) {
     }
 
+    private record Maintain(Set<String> out, Map<String, Long> back, Runnable done) {
+    }
+
     private record Line(Call from, byte[] bytes) {
     }
 
@@ -67,6 +72,7 @@
     private final ModuleActor.Journal journal;
     private final Mailbox<Object> mailbox;
     private final View view = new View();
+    private final Told told = new Told();
     private ModuleActor module;
     private Call watch;
     /** The watch on the address before: it counts until the one on the new address has told its first. */
@@ -118,6 +124,16 @@
         mailbox.post(new Ask(false));
     }
 
+    @Override
+    public Told told() {
+        return told;
+    }
+
+    @Override
+    public void maintain(Set<String> out, Map<String, Long> back, Runnable done) {
+        mailbox.post(new Maintain(out, back, done));
+    }
+
     /** Discovery is at another address from now on. Any thread. */
     public void move(String to) {
         mailbox.post(new Move(to));
@@ -151,6 +167,8 @@
                 former = null;
             } else if (m instanceof Move to) {
                 move(to.address, now);
+            } else if (m instanceof Maintain o) {
+                Source.operators(told.operators(o.out, o.back), o.done, engines, module);
             } else if (m instanceof Line l
                     && (l.from == watch || l.from == former || l.from == fetch)) {
                 line(l, now);
@@ -251,7 +269,7 @@
         // takes seconds to tell them all, and their clients would wait for it.
         known |= kind != ListKind.SAVED
                 || entries.stream().anyMatch(e -> e.server().state() == State.LIVE);
-        Source.tell(kind, entries, engines, module);
+        Source.tell(kind, told.source(kind, entries), engines, module);
     }
 
     /** Takes a list or a change over, unless a newer one has been. */
--- a/src/main/java/magpiehub/registry/Registry.java
+++ b/src/main/java/magpiehub/registry/Registry.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import javax.net.ssl.SSLContext;
@@ -69,6 +70,9 @@
     private record Move(Options options) {
     }
 
+    private record Maintain(Set<String> out, Map<String, Long> back, Runnable done) {
+    }
+
     private record Stop() {
     }
 
@@ -303,6 +307,8 @@
     }
 
     private final Entries entries;
+    private final Told told = new Told();
+    private final Engines engines;
     private final Out out;
     private final Mailbox.Clock clock;
     private final ModuleActor.Journal journal;
@@ -338,7 +344,9 @@
             ModuleActor.Journal journal, long seed) {
         this.options = options;
         this.entries = Entries.strict(site, clock.micros());
-        this.out = to != null ? to : (kind, list) -> Source.tell(kind, list, engines, module);
+        this.out = to != null ? to : (kind, list) -> Source.tell(kind,
+                told.source(kind, list), engines, module);
+        this.engines = engines;
         this.clock = clock;
         this.journal = journal;
         this.seed = seed;
@@ -401,6 +409,16 @@
         mailbox.post(new Ask());
     }
 
+    @Override
+    public Told told() {
+        return told;
+    }
+
+    @Override
+    public void maintain(Set<String> off, Map<String, Long> back, Runnable done) {
+        mailbox.post(new Maintain(off, back, done));
+    }
+
     /** The file says otherwise now. Any thread. */
     public void move(Options to) {
         mailbox.post(new Move(to));
@@ -441,6 +459,8 @@
                 return false;
             } else if (m instanceof Ask && known) {
                 out.tell(ListKind.CHANGES, List.of());
+            } else if (m instanceof Maintain o) {
+                Source.operators(told.operators(o.out, o.back), o.done, engines, module);
             } else if (m instanceof Move to) {
                 moved(to.options);
             } else if (m instanceof Word w && counts(w.call)) {
--- a/src/main/java/magpiehub/registry/Source.java
+++ b/src/main/java/magpiehub/registry/Source.java
@@ -1,6 +1,8 @@
 package magpiehub.registry;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
 import magpiehub.core.Contract.Server;
@@ -21,6 +23,13 @@
         return "";
     }
 
+    /** The last step of its lists. */
+    Told told();
+
+    /** The operators' word, whole: engines that are out, and when others were called back (us, monotonic).
+     *  {@code done} runs on the module's thread once it goes by that. Any thread. */
+    void maintain(Set<String> out, Map<String, Long> back, Runnable done);
+
     /** A change in order: addresses first, so that the module never sends to an engine without one. */
     static void tell(ListKind kind, List<Config.Entry> entries, Engines engines, ModuleActor module) {
         if (kind == ListKind.COMPLETE || kind == ListKind.SAVED) {
@@ -35,6 +44,14 @@
         module.list(kind, entries.stream().map(Config.Entry::server).toList());
     }
 
+    /** What operators have changed, if anything; then the word that it holds. */
+    static void operators(List<Config.Entry> all, Runnable done, Engines engines, ModuleActor module) {
+        if (!all.isEmpty()) {
+            tell(ListKind.SAVED, all, engines, module);
+        }
+        module.execute(done);
+    }
+
     /** An engine of which only its id is known any more. */
     static Config.Entry gone(String id) {
         return new Config.Entry(new Server(id, 0, 0, 0, State.DEAD, 1, 0), null);
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -28,6 +28,7 @@
 import magpiehub.front.MessagesFront;
 import magpiehub.front.PlatformFront;
 import magpiehub.net.Clients;
+import magpiehub.net.Door;
 import magpiehub.net.Engines;
 import magpiehub.net.Front;
 import magpiehub.ops.Log;
@@ -172,7 +173,7 @@
         Front front = messages ? new MessagesFront(site, new MessagesFront.Options("", "chat", "",
                 Map.of()), null)
                 : new PlatformFront(site);
-        clients = new Clients(any, front, actor, clock, log, discovery::known, log::counters, most,
+        clients = new Clients(Door.bind(any), front, actor, clock, log, discovery::known, log::counters, most,
                 crew, streams);
         clients.start();
         log.start();
--- /dev/null
+++ b/src/test/java/magpiehub/ops/MaintenanceTest.java
@@ -0,0 +1,125 @@
+package magpiehub.ops;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertSame;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import magpiehub.core.ModuleActor;
+import magpiehub.ops.Maintenance.Held;
+import magpiehub.ops.Maintenance.Verdict;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/** What calls mean, and the file that keeps it. */
+public class MaintenanceTest {
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final List<String> logged = new ArrayList<>();
+    private final ModuleActor.Journal journal = new ModuleActor.Journal() {
+        @Override
+        public void count(String name) {
+        }
+
+        @Override
+        public void log(String what, String... namesAndValues) {
+            logged.add(what);
+        }
+    };
+    private final Held two = Held.NOTHING.listed(List.of("a", "b"));
+
+    private static Verdict call(Held h, String line) {
+        return Maintenance.call(h, line, true, 1000);
+    }
+
+    @Test
+    public void repeatedCallsChangeNothingAndOneCallBackEndsTheBan() {
+        Held out = call(two, "maint-on a").after();
+        assertEquals(Set.of("a"), out.banned());
+        Verdict again = call(out, "maint-on a");
+        assertNull(again.refused());
+        assertSame(out, again.after());
+        Held back = call(again.after(), "maint-off a").after();
+        assertEquals(Set.of(), back.banned());
+        assertEquals(Map.of("a", 1000L), back.back());
+        assertSame(back, call(back, "maint-off a").after());
+        assertTrue("a ban ends what was known of the call back before it",
+                call(back, "maint-on a").after().back().isEmpty());
+    }
+
+    @Test
+    public void whatMakesNoSenseIsRefusedAndChangesNothing() {
+        for (String line : List.of("", "maint-on", "maint-off", "maint-on a b", "maint-on c", "maint-off c",
+                "standby now", "status a", "reboot", "MAINT-ON a")) {
+            Verdict v = call(two, line);
+            assertNotNull(line, v.refused());
+            assertSame(line, two, v.after());
+        }
+        assertNotNull(Maintenance.call(two, "status", false, 0).refused());
+        assertNull(Maintenance.call(two, "standby", false, 0).refused());
+    }
+
+    @Test
+    public void anIdThatWasListedOnceMayBeCalledForGood() {
+        Held later = two.listed(List.of("c"));
+        assertNull(call(later, "maint-on a").refused());
+        assertTrue(call(call(two, "standby").after(), "standby").after().standby());
+        assertEquals(false, call(call(two, "standby").after(), "active").after().standby());
+    }
+
+    @Test
+    public void idsAreForgottenFromTheFirstAndNeverOnesTakenOut() {
+        Held out = call(two, "maint-on a").after();
+        List<String> many = new ArrayList<>();
+        for (int i = 0; i < Maintenance.MOST_LISTED; i++) {
+            many.add("e" + i);
+        }
+        Held full = out.listed(many);
+        assertEquals(Maintenance.MOST_LISTED, full.listed().size());
+        assertTrue(full.listed().contains("a"));
+        assertTrue(!full.listed().contains("b"));
+    }
+
+    @Test
+    public void twoProcessesShareOneFile() throws Exception {
+        StateFile old = new StateFile(folder.getRoot().toPath(), "n/1", journal);
+        StateFile fresh = new StateFile(folder.getRoot().toPath(), "n/1", journal);
+        assertNull(old.read());
+        Held h = old.change(two, x -> call(x.serving(7, List.of()), "maint-on a").after());
+        assertEquals(h, fresh.read());
+        Held then = fresh.change(Held.NOTHING, x -> call(x.serving(8, List.of(9L)), "standby").after());
+        assertEquals(Set.of("a"), then.banned());
+        assertEquals(then, old.read());
+        assertEquals(List.of(7L, 8L), List.copyOf(then.routers()));
+        assertTrue(logged.isEmpty());
+    }
+
+    @Test
+    public void aTornOrForeignFileIsLoggedAndReadAsNone() throws Exception {
+        Path root = folder.getRoot().toPath();
+        StateFile f = new StateFile(root, "n", journal);
+        f.change(two, x -> call(x, "maint-on a").after());
+        Path file = root.resolve("magpiehub-n.operators");
+        byte[] whole = Files.readAllBytes(file);
+        for (byte[] bad : List.of(new byte[0], java.util.Arrays.copyOf(whole, whole.length / 2),
+                "{\"form\":\"other\"}".getBytes(), "[]".getBytes(), new byte[] {0, 1, 2})) {
+            Files.write(root.resolve("next"), bad);
+            Files.move(root.resolve("next"), file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            logged.clear();
+            assertNull(f.read());
+            assertNull(f.read());
+            assertEquals("named once", List.of("operators-file-unreadable"), logged);
+        }
+        assertEquals("the next change writes it anew", Set.of("b"),
+                f.change(two, x -> call(x, "maint-on b").after()).banned());
+        assertEquals(Set.of("b"), new StateFile(root, "n", journal).read().banned());
+    }
+}
