Let go of streams only 0.3 s before the kill, and be known as the newest before saying yes

The loop in Main.stop counted its own sleeps, which last longer than they say.

Ruled out: requests ended at the door (0), late calls (0), descriptors and memory.

Change: entered first, ready then; the end goes by the clock and by the settings' longest deadline.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -41,16 +41,19 @@
     /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
     private static final int OTHER_DESCRIPTORS = 64;
     /** After SIGTERM: how long the registry may take to forget this router, how long new connections are
-     *  accepted, until when connections are kept that clients have (another router may be down as well), and
-     *  when what is still held is let go of, in time before the process is killed (ms). */
+     *  accepted, and until when connections are kept that clients have: another router may be down as well
+     *  (ms). */
     private static final long DEREGISTER_MS = 400;
     private static final long HAND_OVER_MS = 600;
     private static final long KEEP_MS = 2_000;
-    private static final long LET_GO_MS = 3_000;
-    /** After that, clients that have taken nothing for so long (us) are let go of, looked at so often (ms).
-     *  */
+    /** The process is killed no sooner than after the longest deadline, taken as so long where it is longer,
+     *  and so much more; what is still held is let go of this long before: a stream that its client asks for
+     *  again is read anew by an engine, so none is ended earlier than it must (ms). */
+    private static final long LONGEST_MS = 3_000;
+    private static final long KILLED_AFTER_MS = 700;
+    private static final long LAST_WORDS_MS = 300;
+    /** After that, clients that have taken nothing for so long (us) are let go of. */
     private static final long STUCK = 1_000_000;
-    private static final long TICK_MS = 100;
     /** Where an installation names a registry of its own. */
     private static final Path REGISTRY = Path.of("deploy/registry.json");
     /** What streams may take, where an installation says otherwise. */
@@ -159,14 +162,15 @@
                 r.name(), announcer.get(), operators)));
         WarmUp.run(WarmUp.FEW);
         platform.warm();
+        if (operators != null) {
+            // First: an older process ends once this one says yes, and looks then for who takes its clients.
+            operators.serving();
+        }
         warm.set(true);
         if (clients.shared()) {
             // Not before: what comes to a socket that an older process serves too is left to it until then.
             clients.start();
         }
-        if (operators != null) {
-            operators.serving();
-        }
         // The port that was given, where the configuration leaves it open with 0.
         String listen = r.listen().substring(0, r.listen().lastIndexOf(':') + 1) + clients.port();
         log.log("started", "listen", listen);
@@ -287,18 +291,32 @@
             if (announcer != null) {
                 announcer.stop(DEREGISTER_MS); // Before accepting ends: clients are to stop coming first.
             }
-            for (long ms = 0; ms <= HAND_OVER_MS || fronts.stream().anyMatch(c -> c.open() > 0); ms += 5) {
+            long longest = site.get().settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max()
+                    .orElse(LONGEST_MS);
+            long letGo = Math.min(LONGEST_MS, longest) + KILLED_AFTER_MS - LAST_WORDS_MS;
+            boolean accepts = true;
+            boolean keeps = !succeeded;
+            boolean holds = true;
+            long begun = Mailbox.Clock.SYSTEM.micros();
+            for (long ms = 0; accepts || fronts.stream().anyMatch(c -> c.open() > 0);) {
                 Thread.sleep(5);
-                if (ms == HAND_OVER_MS) {
+                // By the clock: a process that is held to its share sleeps longer than it says.
+                ms = (Mailbox.Clock.SYSTEM.micros() - begun) / 1000;
+                if (accepts && ms >= HAND_OVER_MS) {
+                    accepts = false;
                     for (Clients c : fronts) {
                         c.stopAccepting();
                     }
-                } else if (ms == KEEP_MS && !succeeded) {
+                }
+                if (keeps && ms >= Math.min(KEEP_MS, letGo)) {
+                    keeps = false;
                     fronts.forEach(Clients::closeIdle);
-                } else if (ms == LET_GO_MS) {
+                }
+                if (holds && ms >= letGo) {
+                    holds = false;
                     module.letGo(site.get().settings().resume());
                 }
-                if (ms >= LET_GO_MS && ms % TICK_MS == 0) {
+                if (!holds) {
                     fronts.forEach(c -> c.letGoStuck(STUCK));
                 }
             }
