Use engines' load reports, keep rests from being shed, and move keys while few tokens are kept

Rules.reported: one with waiting requests is passed over as long as a full one, and its service time counts like a first token's, unless it is cold. X-Call-Cost reaches the module; what can't be read is unknown.

Rests of streams that were moved or broken were refused by overload control after their work had been done (Rules.admit). Ruled out: requests at the door, late calls, cold engines' budget.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -104,6 +104,7 @@
         Engines engines = new Engines(r.site().settings().limits().connectTimeout(),
                 r.site().idleClose(), r.site().settings().resume(), forEngines,
                 clock, log, crew, streams);
+        engines.settings(r.site());
         engines.start();
         // A registry of the operators' own instead of the platform's discovery, where a file says so.
         Options registry = Options.read(REGISTRY);
@@ -151,8 +152,7 @@
             // The fronts go by it last: whatever they number is known by then.
             streams.settings(Allowances.read(STREAMS, next.settings().classes(),
                     Runtime.getRuntime().maxMemory()), next);
-            engines.settings(next.settings().limits().connectTimeout(), next.idleClose(),
-                    next.settings().resume());
+            engines.settings(next);
             module.settings(next.settings());
             site.set(next);
         })).start();
--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -43,11 +43,16 @@
         }
     }
 
+    /** Engines' load reports: the fields of each, none where there are no reports, and whether answers carry
+     *  them, or probes alone. */
+    public record Telemetry(List<String> fields, boolean answers) {
+    }
+
     /** The module's settings, and what the hosts need besides. Times in microseconds. Classes and tenants are
      *  known by their places in the settings; places whose names are not in the two maps have vanished, and
      *  are kept for what is under way. */
     public record Site(Settings settings, List<String> zones, List<String> kinds, long idleClose,
-            Map<String, Integer> classes, Map<String, Integer> tenants) {
+            Telemetry telemetry, Map<String, Integer> classes, Map<String, Integer> tenants) {
         /** A class's number by its name; -1 if there is none, and the module turns such a request away. */
         public int cls(String name) {
             return classes.getOrDefault(name, -1);
@@ -69,7 +74,7 @@
             return new Site(new Settings(s.me(), s.instances(), s.myZone(), s.zones(), s.subscribe(),
                     s.resume(), s.weights(), s.overShareWorth(), List.copyOf(cs), List.copyOf(ts),
                     s.limits(), s.guarantees(), s.costs()), later.zones, later.kinds, later.idleClose,
-                    classNames, tenantNames);
+                    later.telemetry, classNames, tenantNames);
         }
     }
 
@@ -328,10 +333,19 @@
                 new Costs(c.number("crossZone", 0), c.number("waste", 0), c.number("probe", 0),
                         c.number("lateFail", 0), c.number("connection", 0), c.number("handshake", 0)));
         return new Site(s, f.texts("zones"), f.texts("machineTypes"), l.micros("idleCloseMs", 30_000),
+                telemetry(f.object("telemetry")),
                 places(classes, RequestClass::name, new ArrayList<>(classes)),
                 places(tenants, Tenant::name, new ArrayList<>(tenants)));
     }
 
+    private static Telemetry telemetry(Facts t) {
+        String how = t.text("how", "none");
+        if (!List.of("none", "answers", "probe").contains(how)) {
+            throw new Malformed("telemetry.how is unknown: " + how);
+        }
+        return new Telemetry(how.equals("none") ? List.of() : t.texts("fields"), how.equals("answers"));
+    }
+
     // ---- Lists of engines -----------------------------------------------------------------------------
     /** How a wire names an entry's fields and says zones, kinds, states and times. */
     public interface Names {
--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Load;
 import magpiehub.core.Contract.Outcome;
 import magpiehub.core.Contract.Request;
 import magpiehub.core.Contract.Server;
@@ -232,14 +233,16 @@
         mailbox.post(() -> first(a));
     }
 
-    /** An attempt has ended; its connection is closed or free. {@code kept} is -1 if not told. */
-    public void ended(Attempt a, Outcome outcome, long kept) {
-        mailbox.post(() -> end(a, outcome, kept));
+    /** An attempt has ended; its connection is closed or free. {@code kept} is -1 if not told, {@code load}
+     * null
+     *  if its engine told none. */
+    public void ended(Attempt a, Outcome outcome, long kept, Load load) {
+        mailbox.post(() -> end(a, outcome, kept, load));
     }
 
     /** A probe has come back. */
-    public void probed(String server, Outcome outcome, long sentAt) {
-        mailbox.post(() -> rules.probed(now, server, outcome, now - sentAt, null));
+    public void probed(String server, Outcome outcome, long sentAt, Load load) {
+        mailbox.post(() -> rules.probed(now, server, outcome, now - sentAt, load));
     }
 
     /** Discovery's word on the engines. */
@@ -325,7 +328,7 @@
         rules.begun(now, o.request.id(), a.number, now - a.sentAt);
     }
 
-    private void end(Attempt a, Outcome outcome, long kept) {
+    private void end(Attempt a, Outcome outcome, long kept, Load load) {
         if (a.over) {
             return;
         }
@@ -338,7 +341,7 @@
             answer(o, outcome == Outcome.OK ? "served" : outcome == Outcome.CANCELLED ? "abandoned"
                     : "broken");
         }
-        rules.outcome(now, o.request.id(), a.number, outcome, now - a.sentAt, settled, kept, null);
+        rules.outcome(now, o.request.id(), a.number, outcome, now - a.sentAt, settled, kept, load);
     }
 
     private void left(String id) {
@@ -352,7 +355,7 @@
             if (!a.over) {
                 // Nobody reads on: the engine is not to work for a client that has gone.
                 a.handle.abort();
-                end(a, Outcome.CANCELLED, -1);
+                end(a, Outcome.CANCELLED, -1, null);
             }
         }
     }
@@ -372,7 +375,7 @@
     private void stop(Attempt a) {
         if (!a.over) {
             a.handle.abort();
-            ended(a, Outcome.CANCELLED, -1);
+            ended(a, Outcome.CANCELLED, -1, null);
         }
     }
 
@@ -401,14 +404,14 @@
                 // A fault of the engines' side is an attempt that never ran, not the end of the request.
                 journal.count("module_exceptions");
                 journal.log("module-exception", "error", e.toString(), "engine", server);
-                ended(a, Outcome.CONNECT_FAILED, -1);
+                ended(a, Outcome.CONNECT_FAILED, -1, null);
             }
         }
 
         private void expire(Attempt a) {
             if (!a.over && a.open.begun != a) {
                 a.handle.abort();
-                end(a, Outcome.TIMEOUT, -1);
+                end(a, Outcome.TIMEOUT, -1, null);
             }
         }
 
@@ -444,7 +447,7 @@
             if (o != null && o.begun != null) {
                 o.begun.handle.abort();
                 answer(o, "moved").move();
-                ended(o.begun, Outcome.CANCELLED, -1);
+                ended(o.begun, Outcome.CANCELLED, -1, null);
             }
         }
 
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -54,6 +54,9 @@
     /** Part of a prefix's tokens below which it was not kept, and the least gap of drops for it (us). */
     private static final double FEW_KEPT = 0.5;
     private static final long MISS_GAP = 1_000_000;
+    /** What the newest answer counts in the part of tokens found kept: some twenty answers tell of a
+     * release. */
+    private static final double KEPT_WEIGHT = 0.05;
     /** Period of the node's one timer (us): finer than any time-out it serves. */
     private static final long SWEEP = 50_000;
     /** Time constant of traffic shares (us): a few sessions long. */
@@ -142,6 +145,7 @@
     private final Map<String, Held> held = new HashMap<>();
     private double retryBudget = RETRY_SAVED;
     // Per class, over all replicas: mean time to the first token and mean whole time (us).
+    private double meanService;
     private double[] meanFirst;
     private double[] meanWhole;
     private long[] zoneFailedAt;
@@ -154,6 +158,9 @@
     private double good;
     private double bad;
     private double shed;
+    /** Part of the prompts' tokens found kept, over all replicas; the mean until it is decayed. */
+    private double keptPart = 1;
+    private int keptSeen = 1;
     private long lastControl;
     private double[] allowance;
     private long allowanceAt;
@@ -206,22 +213,12 @@
     @Override
     public void settings(long time, Settings settings) {
         at(time);
-        int was = s.classes().size();
         s = settings;
         int n = s.classes().size();
         meanFirst = Arrays.copyOf(meanFirst, n);
         meanWhole = Arrays.copyOf(meanWhole, n);
         arrivals = Arrays.copyOf(arrivals, 2 * n);
         shedPart = Arrays.copyOf(shedPart, 2 * n);
-        for (int i = was; i < n; i++) {
-            for (int j = 0; j < i; j++) {
-                // Another class under an old name: its answers take about as long as they did.
-                if (s.classes().get(j).name().equals(s.classes().get(i).name())) {
-                    meanFirst[i] = meanFirst[j];
-                    meanWhole[i] = meanWhole[j];
-                }
-            }
-        }
         allowance = Arrays.copyOf(allowance, s.tenants().size());
         zoneFailedAt = Arrays.copyOf(zoneFailedAt, Math.max(zoneFailedAt.length, s.zones()));
         zoneFailures = Arrays.copyOf(zoneFailures, zoneFailedAt.length);
@@ -363,9 +360,7 @@
             }
         }
 
-        boolean holds(Replica r) {
-            return Arrays.asList(at).contains(r);
-        }
+        boolean holds(Replica r) { return Arrays.asList(at).contains(r); }
 
         int from(long hash) {
             int i = Arrays.binarySearch(points, hash);
@@ -485,10 +480,10 @@
     }
 
     private void sendOrTurnAway(Held h, Replica to) {
-        if (to == null) {
-            turnAway(h);
-        } else {
+        if (to != null) {
             send(h, to);
+        } else {
+            turnAway(h);
         }
     }
 
@@ -590,8 +585,10 @@
     /** Is it open to ordinary traffic now: reachable, not full a moment ago, no heap of this node's work? */
     private boolean open(Replica r) {
         double mean = r.part * inflight / Math.max(1, readyCount);
-        return reachable(r) && (strained() || !waits(r) && now >= r.busyUntil && r.inflight < r.limit
-                && r.inflight < HEAPED_MORE + HEAPED * mean);
+        // While the fleet is short a key stays: elsewhere its tokens would be read anew and push the next one
+        // over. Where few are found anyway, as after a release, a short queue is worth more than the place.
+        return reachable(r) && (strained() && keptPart >= FEW_KEPT || !waits(r) && now >= r.busyUntil
+                && r.inflight < r.limit && r.inflight < HEAPED_MORE + HEAPED * mean);
     }
 
     /** Has this node asked it for something that should have begun by now? A first token tells of a slow
@@ -657,10 +654,15 @@
         }
         if (!o.neverRan && h.mayHaveRun == null) { h.mayHaveRun = a; }
         judge(h, a, o, took);
+        reported(a.replica, load);
         if (o == Outcome.OK && h.fallback && h.mapping != null && !h.mapping.session && a.replica.ready) {
             // A served fallback or pressure pick joins the deque, whose back entry goes.
             h.mapping.join(a.replica, Math.max(1, h.mapping.size));
         }
+        if (o == Outcome.OK && kept >= 0 && h.r.promptTokens() > 0) {
+            keptPart += (Math.min(1, kept / h.r.promptTokens()) - keptPart)
+                    * Math.max(KEPT_WEIGHT, 1.0 / ++keptSeen);
+        }
         if (o == Outcome.OK && kept >= 0 && warm(h.mapping, a.replica)) { missed(h, a, kept); }
         if (settled || h.over) {
             end(h);
@@ -763,7 +765,7 @@
         good += worth;
         bad += 1 - worth;
         double ratio = took / Math.max(20_000, mean);
-        overdue(a, ratio);
+        overdue(a.replica, ratio);
         if (a.replica.entry.zone() == s.myZone()) {
             ownPace += (Math.min(4, ratio) - ownPace) * 0.03;
         } else {
@@ -773,12 +775,24 @@
     }
 
     /** Relative slowness: what all replicas share cancels out, so a shared cause ejects none. */
-    private void overdue(Attempt a, double ratio) {
-        Replica r = a.replica;
+    private void overdue(Replica r, double ratio) {
         r.slow += (Math.min(10, ratio) - r.slow) * 0.4;
         if (r.slow > SLOW_RATIO) { eject(r, false); }
     }
 
+    /** A report is stale and noisy. One where requests wait is passed over for as long as a full one; its
+     * time
+     *  of service counts against the fleet's like a first token's, unless it is cold and thus slow anyway. */
+    private void reported(Replica r, Load l) {
+        if (l == null) { return; }
+        if (l.queue() >= 1) { r.busyUntil = Math.max(r.busyUntil, now + FULL_PAUSE); }
+        if (l.latencyMs() > 0 && r.coldSince == NEVER) {
+            double mean = meanService == 0 ? l.latencyMs() : meanService;
+            meanService = mean + (Math.min(l.latencyMs(), 4 * mean) - mean) * 0.05;
+            overdue(r, l.latencyMs() / meanService);
+        }
+    }
+
     private void judge(Held h, Attempt a, Outcome o, long took) {
         Replica r = a.replica;
         switch (o) {
@@ -801,10 +815,9 @@
             case CONNECT_FAILED -> unreachable(r);
             case TIMEOUT -> {
                 bad++;
-                overdue(a, 10);
-            }
-            default -> {
+                overdue(r, 10);
             }
+            default -> { }
         }
         if (o == Outcome.OK || o == Outcome.FULL || o == Outcome.ERROR) {
             r.heard = now;
@@ -835,9 +848,7 @@
         eject(r, true);
     }
 
-    private int zone(int z) {
-        return z >= 0 && z < zoneFailedAt.length ? z : 0;
-    }
+    private int zone(int z) { return z >= 0 && z < zoneFailedAt.length ? z : 0; }
 
     private boolean cut(int z) {
         return zoneFailures[zone(z)] >= ZONE_FAILURES && now - zoneFailedAt[zone(z)] < ZONE_PAUSE;
@@ -870,7 +881,10 @@
     public void probed(long time, String server, Outcome o, long took, Load load) {
         at(time);
         Replica r = replicas.get(server);
-        if (r != null && o == Outcome.OK) { r.heard = now; }
+        if (r != null && o == Outcome.OK) {
+            r.heard = now;
+            reported(r, load);
+        }
         if (r != null && (o == Outcome.CONNECT_FAILED || o == Outcome.RESET)) { unreachable(r); }
     }
 
@@ -942,7 +956,8 @@
     private boolean admit(Request r) {
         int k = 2 * r.cls() + (overShare(r.tenant()) ? 1 : 0);
         arrivals[k]++;
-        return shedPart[k] <= 0 || random() >= shedPart[k];
+        // The rest of a stream that broke or was moved has cost most of its work already.
+        return r.again() || shedPart[k] <= 0 || random() >= shedPart[k];
     }
 
     /** Beyond its allowance a tenant's work is worth little; each node counts its part of the allowance. */
@@ -958,9 +973,7 @@
         return allowance[tenant] < 1 || allowance[tenant]-- < 1;
     }
 
-    private boolean strained() {
-        return bad > STRAINED_AT * (good + bad) && bad > 2;
-    }
+    private boolean strained() { return bad > STRAINED_AT * (good + bad) && bad > 2; }
 
     private double worth(int k) {
         return s.classes().get(k / 2).worth() * (k % 2 == 1 ? s.overShareWorth() : 1)
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -104,10 +104,17 @@
         String again = head.get("X-Again");
         return new Request(id, cls(site, need(head, "X-Call-Class")), tenant == null ? -1
                 : site.tenant(tenant),
-                route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget, 0,
+                route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget,
+                cost(head.get("X-Call-Cost")),
                 lengths[0], lengths[1], lengths[2], "1".equals(again), false, "again".equals(again));
     }
 
+    /** The client's estimate of the work, in milliseconds; 0 where there is none that can be read. */
+    private static double cost(String micros) {
+        boolean number = micros != null && micros.length() <= 15 && Http.digits(micros.strip());
+        return number ? Long.parseLong(micros.strip()) / 1000.0 : 0;
+    }
+
     /** A class that there is: the module is never asked to judge another. */
     static int cls(Config.Site site, String name) throws Http.Bad {
         int c = site.cls(name);
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
+import magpiehub.core.Contract.Load;
 import magpiehub.core.Contract.Outcome;
 import magpiehub.core.Contract.Server;
 import magpiehub.core.Mailbox;
@@ -57,6 +58,7 @@
     private volatile long retireAfter;
     private final int most;
     private volatile boolean resume;
+    private volatile Reports reports = new Reports(new Config.Telemetry(List.of(), false));
     private final Streams streams;
     private final Map<String, Place> places = new ConcurrentHashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
@@ -78,7 +80,12 @@
     }
 
     /** What the settings say of engines, from now on. Any thread. */
-    public void settings(long connectTimeout, long idleClose, boolean clientsResume) {
+    public void settings(Config.Site site) {
+        settings(site.settings().limits().connectTimeout(), site.idleClose(), site.settings().resume());
+        reports = new Reports(site.telemetry());
+    }
+
+    private void settings(long connectTimeout, long idleClose, boolean clientsResume) {
         connectTimeoutMs = (int) Math.max(1, connectTimeout / 1000);
         retireAfter = Math.max(1, (long) (idleClose * RETIRE_AT));
         resume = clientsResume;
@@ -137,7 +144,7 @@
         if (c == null) {
             if (connections >= most && !evict()) {
                 journal.count("engine_connections_short");
-                module.ended(attempt, Outcome.FULL, -1);
+                module.ended(attempt, Outcome.FULL, -1, null);
                 return lease;
             }
             c = new Connection(attempt.server);
@@ -228,23 +235,36 @@
         Mailbox.thread("probe", () -> {
             Outcome o = Outcome.RESET;
             boolean sent = false;
+            Load load = null;
+            Reports told = reports;
             try (Socket s = new Socket()) {
                 connect(s, server);
                 s.setSoTimeout(PROBE_TIMEOUT_MS);
-                s.getOutputStream().write(("GET /alive HTTP/1.1\r\nHost: " + places.get(server).hostPort
+                s.getOutputStream().write(("GET " + (told.inProbes() ? "/metrics/load" : "/alive")
+                        + " HTTP/1.1\r\nHost: " + places.get(server).hostPort
                         + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
                 sent = true;
                 Http.Input in = new Http.Input(s.getInputStream(), clock::micros);
-                o = !in.await() ? Outcome.RESET : in.head(false).status() == 200 ? Outcome.OK : Outcome.FULL;
+                Http.Head h = in.await() ? in.head(false) : null;
+                o = h == null ? Outcome.RESET : h.status() == 200 ? Outcome.OK : Outcome.FULL;
+                if (o == Outcome.OK && told.inProbes()) {
+                    load = load(told, new String(in.body(h), StandardCharsets.UTF_8));
+                }
             } catch (SocketTimeoutException e) {
                 o = sent ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
             } catch (IOException | RuntimeException e) {
                 o = sent ? Outcome.RESET : Outcome.CONNECT_FAILED;
             }
-            module.probed(server, o, sentAt);
+            module.probed(server, o, sentAt, load);
         }).start();
     }
 
+    private Load load(Reports told, String text) {
+        Load l = told.read(text);
+        journal.count(l == null ? "load_reports_unreadable" : "load_reports");
+        return l;
+    }
+
     private void connect(Socket s, String server) throws IOException {
         Place p = places.get(server);
         if (p == null || p.hostPort == null) {
@@ -319,14 +339,14 @@
     }
 
     /** What a reader has to say, with the socket that it reads from. */
-    private record Answered(Socket from, int status, boolean rejected, boolean reusable) {
+    private record Answered(Socket from, int status, boolean rejected, boolean reusable, String report) {
     }
 
     /** One event, counted as {@code flow}'s. */
     private record Event(Socket from, byte[] bytes, Streams.Flow flow) {
     }
 
-    private record End(Socket from, boolean reusable) {
+    private record End(Socket from, boolean reusable, String report) {
     }
 
     private record Broken(Socket from, String why, boolean spoilt) {
@@ -357,6 +377,8 @@
         private byte[] error;
         private boolean reusable;
         private long kept;
+        /** What the answer in hand says of its engine's load. */
+        private String report;
         private byte[] lastEvent;
         /** When the last event or comment came, and when the last event. */
         private long heardAt;
@@ -452,6 +474,7 @@
             outcome = null;
             error = null;
             kept = -1;
+            report = null;
             lastEvent = null;
             Object work = l.attempt.work();
             if (!(work instanceof Front.Call call)) {
@@ -551,6 +574,7 @@
                 return;
             }
             reusable = a.reusable;
+            report = a.report;
             if (!a.reusable) {
                 drop();
             }
@@ -589,6 +613,10 @@
             eventAt = begun && bytes[0] == ':' ? eventAt : now;
             long k = Stream.kept(bytes);
             kept = k >= 0 ? k : kept;
+            if (reports.inAnswers()) {
+                String r = Reports.comment(bytes);
+                report = r != null ? r : report;
+            }
             lastEvent = bytes;
             start();
             if (granted) {
@@ -623,6 +651,7 @@
                 return;
             }
             reusable = e.reusable;
+            report = report != null ? report : e.report;
             if (!e.reusable) {
                 drop();
             }
@@ -690,7 +719,7 @@
             lease.bind(null);
             forget();
             free(socket != null && reusable);
-            module.ended(a, o, kept);
+            module.ended(a, o, kept, report == null ? null : load(reports, report));
         }
 
         private void free(boolean alive) {
@@ -751,11 +780,11 @@
                                 throw new IOException("ended");
                             }
                         });
-                        mailbox.post(new End(s, !h.closes() && in.empty()));
+                        mailbox.post(new End(s, !h.closes() && in.empty(), reported(h)));
                     } else {
                         in.body(h);
                         mailbox.post(new Answered(s, h.status(), "1".equals(h.get("X-Rejected")),
-                                !h.closes() && in.empty()));
+                                !h.closes() && in.empty(), reported(h)));
                     }
                 }
             } catch (Http.Bad | SocketTimeoutException e) {
@@ -769,6 +798,10 @@
         }
     }
 
+    private String reported(Http.Head h) {
+        return reports.inAnswers() ? h.get(Reports.HEADER) : null;
+    }
+
     /** What an engine's events say to the router; the events themselves pass through as they are. */
     static final class Stream {
         private Stream() {
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -490,7 +490,7 @@
         return !s.isEmpty();
     }
 
-    static boolean digits(String s) {
+    public static boolean digits(String s) {
         return !s.isEmpty() && s.chars().allMatch(c -> c >= '0' && c <= '9');
     }
 
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -126,6 +126,7 @@
     private int most = 64;
     private String allowances = "{}";
     private Streams streams;
+    private String siteFile = "site.json";
     private boolean resume = true;
     private int asked;
     /** What each answered request came to, in the order of the file. */
@@ -155,7 +156,7 @@
     /** The program's parts, wired as {@code Main} does. */
     private void start() throws Exception {
         Config.Site site = Config.site(Config.facts(
-                Files.readAllBytes(Path.of("src/test/resources/site.json")), "settings"));
+                Files.readAllBytes(Path.of("src/test/resources/" + siteFile)), "settings"));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
         Peer d = peers.computeIfAbsent("d", k -> new Peer());
         d.server = new ServerSocket(0, 8, any.getAddress());
@@ -165,6 +166,9 @@
                 log);
         Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), resume, 64,
                 clock, log, crew, streams);
+        if (resume) {
+            engines.settings(site);
+        }
         engines.start();
         discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), () -> site, engines, clock,
                 log);
@@ -191,6 +195,7 @@
         switch (w[0]) {
             case "front" -> messages = rest.equals("messages");
             case "streams" -> allowances = rest;
+            case "site" -> siteFile = rest;
             case "no-resume" -> resume = false;
             case "most" -> most = Integer.parseInt(rest);
             case "engines" -> {
--- a/src/test/java/magpiehub/core/ModuleActorTest.java
+++ b/src/test/java/magpiehub/core/ModuleActorTest.java
@@ -142,7 +142,7 @@
         now += 400_000;
         turns();
         actor.begun(attempts.get(0));
-        actor.ended(attempts.get(0), Outcome.OK, 5);
+        actor.ended(attempts.get(0), Outcome.OK, 5, null);
         actor.gone("r");
         turns();
         assertEquals(List.of("start a", "abort a", "refuse at 1400000"), done);
--- a/src/test/java/magpiehub/core/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -315,6 +315,26 @@
         assertEquals(home, b.where(b.ask(0, 7)), "begun: its place is right again");
     }
 
+    /** While the fleet is short, a key stays where its tokens are kept; where few are found, it does not. */
+    @Test
+    void aShortFleetMovesKeysOnlyIfFewTokensAreKept() {
+        assertEquals(true, staysWhileShort(900));
+        assertEquals(false, staysWhileShort(100));
+    }
+
+    private static boolean staysWhileShort(long kept) {
+        Bench b = new Bench(Bench.settings(1)).list(names(8));
+        String home = b.serve(0, 7);
+        for (int i = 0; i < 12; i++) {
+            String id = b.ask(0, 100 + i);
+            b.begun(id, 1_100_000); // Late, as all are.
+            b.kept(id, kept);
+        }
+        assertEquals(home, b.where(b.ask(0, 7)));
+        b.pass(410_000);
+        return home.equals(b.where(b.ask(0, 7)));
+    }
+
     @Test
     void sideEffectGoesOutAgainOnlyIfItNeverRan() {
         Bench b = new Bench(Bench.settings(1, Bench.cls(Effect.SIDE_EFFECT, Group.ALL))).list(names(6));
@@ -664,6 +684,69 @@
         assertTrue(refused[0] > 60 && refused[0] > 2 * refused[1], refused[0] + " " + refused[1]);
     }
 
+    private static Contract.Load load(double queue, double latency) {
+        double no = Double.NaN;
+        return new Contract.Load(no, queue, no, latency, no, 0, no, no);
+    }
+
+    private static void reports(Bench b, String id, Contract.Load load) {
+        b.begun(id, 50_000);
+        b.node.outcome(b.now, id, 0, Outcome.OK, 50_000, true, 800, load);
+    }
+
+    /** A report of waiting requests counts for a moment only: it is stale by then. */
+    @Test
+    void aReplicaThatReportsAQueueIsPassedOverForAMoment() {
+        Bench b = new Bench(Bench.settings(1)).list(names(8));
+        String home = b.serve(0, 7);
+        reports(b, b.ask(0, 7), load(2, 30));
+        assertNotEquals(home, b.where(b.ask(0, 7)));
+        b.pass(500_000);
+        reports(b, b.ask(0, 7), load(0, 30));
+        assertEquals(home, b.where(b.ask(0, 7)));
+    }
+
+    /** Slow by its own word, though its first tokens come in time: it is ejected, unless it is cold. */
+    @Test
+    void slownessIsToldByReportsButNotOfAColdReplica() {
+        for (boolean cold : new boolean[] {false, true}) {
+            Bench b = new Bench(Bench.settings(1)).list(names(8));
+            b.node.list(b.now, ListKind.CHANGES,
+                    List.of(Bench.server(names(8)[3], State.LIVE, cold ? b.now : 0)));
+            int late = 0;
+            for (int i = 0; i < 300; i++) {
+                String id = b.ask(0, 1000 + i);
+                boolean slow = b.where(id).equals(names(8)[3]);
+                late += slow && i >= 50 && i < 150 ? 1 : 0;
+                reports(b, id, load(0, slow ? 300 : 30));
+                b.pass(10_000);
+            }
+            assertEquals(!cold, late == 0, "sent to it once it was known: " + late);
+        }
+    }
+
+    /** The rest of a broken stream is asked for by its client: it is never what overload control refuses. */
+    @Test
+    void whatIsAskedForAgainIsNotShed() {
+        Bench b = new Bench(Bench.settings(1)).list(names(4));
+        int refused = 0;
+        for (int i = 0; i < 200; i++) {
+            String id = b.ask(0, i + 1);
+            refused += "refused".equals(b.finals.get(id)) ? 1 : 0;
+            if (b.where(id) != null) {
+                b.begun(id, 2 * S);
+                b.outcome(id, Outcome.OK);
+            }
+            b.node.request(b.now, new Contract.Request("rest" + i, 0, 0, 1000 + i, 0, b.now + 4 * S, 0, 1000,
+                    800, 100, false, false, true));
+            assertEquals(null, b.finals.get("rest" + i));
+            b.begun("rest" + i, 2 * S);
+            b.outcome("rest" + i, Outcome.OK);
+            b.pass(20_000);
+        }
+        assertTrue(refused > 40, "under overload others are: " + refused);
+    }
+
     @Test
     void coldShareGoesByWhatWasSentNotByWhatWasAsked() {
         Bench b = new Bench(Bench.settings(1)).list(names(5));
