Test the upgrade with whole processes: two versions, one socket, a torn state file

A launcher holds the listening socket and starts each version with it as descriptor 0; requests before, during and after SIGTERM get one answer each, a ban and standby given to one process hold on both and over the upgrade, SIGTERM comes during standby, a torn state file is named in the log.

--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -47,7 +47,7 @@
         s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static void write(Path config, ServerSocket discovery, ServerSocket engine) throws IOException {
+    static void write(Path config, ServerSocket discovery, ServerSocket engine) throws IOException {
         Files.writeString(config, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
                 + discovery.getLocalPort() + "\",\"seed\":\"7\",\"settings\":"
                 + Files.readString(Path.of("src/test/resources/site.json"))
--- /dev/null
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -0,0 +1,206 @@
+package magpiehub;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/**
+ * Whole processes as operators run them: two versions on one listening socket, and what was said to one
+ * holds on the other. A launcher holds the socket, as the platform does, and starts each process with it
+ * as descriptor 0.
+ */
+public class UpgradeTest {
+    /** Says the socket's port, then starts the program for each line that names a console's port. */
+    private static final String LAUNCHER = """
+            use Socket; $| = 1; $SIG{CHLD} = 'IGNORE';
+            socket(my $s, PF_INET, SOCK_STREAM, 0) or die; bind($s, sockaddr_in(0, INADDR_LOOPBACK)) or die;
+            listen($s, 64) or die; print((sockaddr_in(getsockname($s)))[0], "\\n");
+            my $port = (sockaddr_in(getsockname($s)))[0];
+            while (my $console = <STDIN>) {
+              chomp $console;
+              my $pid = fork();
+              if ($pid == 0) {
+                open(STDIN, "<&", $s) or die;
+                $ENV{ROUTER_FD} = 0; $ENV{ROUTER_CONSOLE} = "127.0.0.1:$console";
+                $ENV{ROUTER_LISTEN} = "127.0.0.1:$port";
+                exec(@ARGV) or die;
+              }
+              print "pid $pid\\n";
+            }
+            kill 'KILL', 0;
+            """;
+    private static final String ASK = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: %s\r\n"
+            + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n";
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final InetAddress loopback = InetAddress.getLoopbackAddress();
+    private ServerSocket engine;
+    private ServerSocket discovery;
+    private Process launcher;
+    private BufferedReader said;
+    private int port;
+
+    @Before
+    public void launch() throws IOException {
+        engine = new ServerSocket(0, 64, loopback);
+        engine.setSoTimeout(30_000);
+        discovery = new ServerSocket(0, 8, loopback);
+        Path config = folder.newFile().toPath();
+        ServeTest.write(config, discovery, engine);
+        ProcessBuilder b = new ProcessBuilder("perl", "-e", LAUNCHER,
+                ProcessHandle.current().info().command().orElse("java"), "-cp",
+                System.getProperty("java.class.path"), "magpiehub.Main", "serve");
+        b.environment().put("ROUTER_CONFIG", config.toString());
+        b.environment().put("TMPDIR", folder.getRoot().toString());
+        b.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.getLocalPort());
+        launcher = b.redirectErrorStream(true).start();
+        said = launcher.inputReader();
+        port = Integer.parseInt(said.readLine());
+    }
+
+    @After
+    public void end() throws IOException {
+        launcher.descendants().forEach(ProcessHandle::destroyForcibly);
+        launcher.destroyForcibly();
+        engine.close();
+        discovery.close();
+    }
+
+    /** Starts a version; returns its console's port. */
+    private int version() throws IOException {
+        int console;
+        try (ServerSocket free = new ServerSocket(0, 1, loopback)) {
+            console = free.getLocalPort();
+        }
+        launcher.outputWriter().write(console + "\n");
+        launcher.outputWriter().flush();
+        ServeTest.until(said, " started ");
+        return console;
+    }
+
+    private String call(int console, String line) throws IOException {
+        try (Socket s = new Socket(loopback, console)) {
+            s.setSoTimeout(30_000);
+            s.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
+        }
+    }
+
+    private Socket ask(String id) throws IOException {
+        Socket s = new Socket(loopback, port);
+        s.setSoTimeout(30_000);
+        s.getOutputStream().write(ASK.formatted(id).getBytes(StandardCharsets.US_ASCII));
+        return s;
+    }
+
+    private static String first(Socket s) throws IOException {
+        return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII))
+                .readLine();
+    }
+
+    private long old() {
+        return launcher.children().min(java.util.Comparator.comparingLong(ProcessHandle::pid)).orElseThrow()
+                .pid();
+    }
+
+    /** Requests before, during and after: each gets exactly one answer, and only the old process ends. */
+    @Test
+    public void aNewVersionTakesTheSocketOverAndNothingIsLost() throws Exception {
+        int first = version();
+        assertTrue(call(first, "status").startsWith("SUCCESS active"));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            clients.add(ask("a" + i));
+        }
+        List<Socket> held = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            held.add(engine.accept());
+        }
+        int second = version();
+        assertTrue(call(second, "status").startsWith("SUCCESS active"));
+        ProcessHandle older = ProcessHandle.of(old()).orElseThrow();
+        older.destroy();
+        assertTrue(ServeTest.until(said, " stopping ").contains("succeeded=\"true\""));
+        // The old one accepts no more: these are the new one's, and are not mixed up with what the old one
+        // holds.
+        for (int i = 0; i < 4; i++) {
+            clients.add(ask("b" + i));
+            held.add(engine.accept());
+        }
+        for (Socket s : held) {
+            s.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+        }
+        for (Socket c : clients) {
+            assertEquals("HTTP/1.1 200 OK", first(c));
+            c.close();
+        }
+        assertTrue(ServeTest.until(said, " stopped ").contains("held=\"0\""));
+        older.onExit().get(30, TimeUnit.SECONDS);
+        assertTrue(call(second, "status").startsWith("SUCCESS"));
+        try (Socket c = ask("c")) {
+            engine.accept().getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            assertEquals("HTTP/1.1 200 OK", first(c));
+        }
+    }
+
+    @Test
+    public void whatWasSaidHoldsOnBothProcessesAndOverTheUpgrade() throws Exception {
+        int first = version();
+        assertEquals("FAILURE no engine of that id was ever listed", call(first, "maint-on x"));
+        assertEquals("SUCCESS out e", call(first, "maint-on e"));
+        assertEquals("SUCCESS out e", call(first, "maint-on e"));
+        try (Socket c = ask("a")) {
+            assertEquals("HTTP/1.1 503 Service Unavailable", first(c));
+        }
+        int second = version();
+        assertEquals("SUCCESS active out=1", call(second, "status"));
+        assertEquals("SUCCESS standby", call(second, "standby"));
+        ServeTest.until(said, " standby ");
+        ServeTest.until(said, " standby "); // On both: each logs it.
+        try (Socket up = new Socket(loopback, port)) {
+            up.getOutputStream().write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            assertEquals("HTTP/1.1 503 Service Unavailable", first(up));
+        }
+        ProcessHandle older = ProcessHandle.of(old()).orElseThrow();
+        older.destroy(); // SIGTERM during standby.
+        older.onExit().get(30, TimeUnit.SECONDS);
+        assertEquals("SUCCESS active", call(second, "active"));
+        assertEquals("SUCCESS back e", call(second, "maint-off e"));
+        try (Socket c = ask("b")) {
+            engine.accept().getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            assertEquals("HTTP/1.1 200 OK", first(c));
+        }
+    }
+
+    /** A state file that is torn is named in the log and starts nothing wrong. */
+    @Test
+    public void aTornStateFileNeverFailsAStart() throws Exception {
+        Files.writeString(folder.getRoot().toPath().resolve("magpiehub-n.operators"), "{\"form\":\"magpie");
+        launcher.outputWriter().write("0\n");
+        launcher.outputWriter().flush();
+        ServeTest.until(said, " operators-file-unreadable ");
+        ServeTest.until(said, " started ");
+    }
+}
