--- a/src/test/java/magpiehub/UpgradeTest.java
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -20,6 +20,7 @@
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
+import org.junit.rules.Timeout;
 
 /**
  * Whole processes as operators run them: two versions on one listening socket, and what was said to one
@@ -51,6 +52,9 @@
     private static final String ANSWER = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n";
 
+    /** Guards against a word that never comes: the test fails then, and does not hang. */
+    @Rule
+    public final Timeout patience = Timeout.seconds(120);
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
     private final InetAddress loopback = InetAddress.getLoopbackAddress();
