Let one piece of code serve where the operators' parts had written it again

Console closed sockets by a copy of Clients.closeQuietly. The mean with cut outliers stood three times in Rules, the word of maintenance in both sources, the port behind an address twice in Main, a process's start twice in ServeTest. Engines took its settings in two steps, with an empty set of reports between them, and the player of exchanges worked around it; it takes the site now.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -101,10 +101,7 @@
                 Runtime.getRuntime().maxMemory());
         AtomicReference<Config.Site> site = new AtomicReference<>(r.site());
         Streams streams = new Streams(allowances, r.site(), clock, log);
-        Engines engines = new Engines(r.site().settings().limits().connectTimeout(),
-                r.site().idleClose(), r.site().settings().resume(), forEngines,
-                clock, log, crew, streams);
-        engines.settings(r.site());
+        Engines engines = new Engines(r.site(), forEngines, clock, log, crew, streams);
         engines.start();
         // A registry of the operators' own instead of the platform's discovery, where a file says so.
         Options registry = Options.read(REGISTRY);
@@ -144,8 +141,7 @@
             operators.start();
             Console console = new Console(Config.socketAddress(r.console()), operators::call, log);
             console.start();
-            log.log("console", "listen", r.console().substring(0, r.console().lastIndexOf(':') + 1)
-                    + console.port());
+            log.log("console", "listen", at(r.console(), console.port()));
         }
         Mailbox.thread("reload", () -> reload(r, hangups, discovery, log, later -> {
             Config.Site next = site.get().followedBy(later);
@@ -171,8 +167,7 @@
             // Not before: what comes to a socket that an older process serves too is left to it until then.
             clients.start();
         }
-        // The port that was given, where the configuration leaves it open with 0.
-        String listen = r.listen().substring(0, r.listen().lastIndexOf(':') + 1) + clients.port();
+        String listen = at(r.listen(), clients.port());
         log.log("started", "listen", listen);
         if (registry != null && registry.announce() != null) {
             Announcer a = new Announcer(registry, r.name(), listen, clock, log, r.seed());
@@ -189,6 +184,11 @@
         }
     }
 
+    /** An address with the port that was given, where the configuration leaves it open with 0. */
+    private static String at(String address, int port) {
+        return address.substring(0, address.lastIndexOf(':') + 1) + port;
+    }
+
     /** What operators may do to this router; null where no address is given for their calls. */
     private static Operators operators(Config.Router r, List<Clients> fronts, Source source,
             BooleanSupplier ready, Mailbox.Clock clock, Log log) {
--- a/src/main/java/magpiehub/config/Config.java
+++ b/src/main/java/magpiehub/config/Config.java
@@ -93,9 +93,8 @@
     }
 
     /** A router's own configuration. {@code known} is the list as JSON, in discovery's form; {@code file} is
-     * what the file said, for comparing it with a later one. {@code console} is where operators call, null
-     * if
-     *  nowhere; {@code inherited} says that the clients' listening socket is descriptor 0. */
+     *  what the file said, for comparing it with a later one. {@code console} is where operators call, null
+     *  if nowhere; {@code inherited} says that the clients' listening socket is descriptor 0. */
     public record Router(String name, String listen, String console, boolean inherited, String discovery,
             long seed, int memoryMb, int sockets,
             byte[] known, Site site, Map<String, Object> file) {
@@ -112,9 +111,8 @@
     /** Keys that may come and go; any other that a file had, the next one must have too. */
     private static final java.util.Set<String> OPTIONAL = java.util.Set.of("known", "seed", "aimStretch");
 
-    /** Guards against half a file that reads as a whole one: the first key that a later file lacks, or
-     * null. In
-     *  a list of objects the keys count that all of them have. */
+    /** Guards against half a file that reads as a whole one: the first key that a later file lacks, or null.
+     *  In a list of objects the keys count that all of them have. */
     static String lacking(Map<?, ?> now, Map<?, ?> later, String path) {
         for (Map.Entry<?, ?> e : now.entrySet()) {
             if (OPTIONAL.contains(e.getKey())) {
--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -234,8 +234,7 @@
     }
 
     /** An attempt has ended; its connection is closed or free. {@code kept} is -1 if not told, {@code load}
-     * null
-     *  if its engine told none. */
+     *  null if its engine told none. */
     public void ended(Attempt a, Outcome outcome, long kept, Load load) {
         mailbox.post(() -> end(a, outcome, kept, load));
     }
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -757,7 +757,7 @@
     private void firstToken(Held h, Attempt a, long took) {
         int c = h.r.cls();
         double mean = meanFirst[c] == 0 ? took : meanFirst[c];
-        meanFirst[c] = mean + (Math.min(took, 4 * mean) - mean) * 0.05;
+        meanFirst[c] = learnt(mean, took);
         a.replica.heard = now;
         reached(a.replica);
         // A late answer that still earns a part is bad by the rest only.
@@ -774,6 +774,9 @@
         if (a.trial && a.replica.slow <= SLOW_RATIO) { release(a.replica); }
     }
 
+    /** A mean with one more value, of which an outlier counts as four times the mean at most. */
+    private static double learnt(double m, double v) { return m + (Math.min(v, 4 * m) - m) * 0.05; }
+
     /** Relative slowness: what all replicas share cancels out, so a shared cause ejects none. */
     private void overdue(Replica r, double ratio) {
         r.slow += (Math.min(10, ratio) - r.slow) * 0.4;
@@ -781,14 +784,13 @@
     }
 
     /** A report is stale and noisy. One where requests wait is passed over for as long as a full one; its
-     * time
-     *  of service counts against the fleet's like a first token's, unless it is cold and thus slow anyway. */
+     *  time of service counts against the fleet's like a first token's, unless it is cold and thus slow
+     *  anyway. */
     private void reported(Replica r, Load l) {
         if (l == null) { return; }
         if (l.queue() >= 1) { r.busyUntil = Math.max(r.busyUntil, now + FULL_PAUSE); }
         if (l.latencyMs() > 0 && r.coldSince == NEVER) {
-            double mean = meanService == 0 ? l.latencyMs() : meanService;
-            meanService = mean + (Math.min(l.latencyMs(), 4 * mean) - mean) * 0.05;
+            meanService = learnt(meanService == 0 ? l.latencyMs() : meanService, l.latencyMs());
             overdue(r, l.latencyMs() / meanService);
         }
     }
@@ -800,7 +802,7 @@
                 r.breaks *= BREAK_SERVED;
                 if (r.inflight + 1 >= r.limit) { r.limit += 1 / r.limit; }
                 double mean = meanWhole[h.r.cls()] == 0 ? took : meanWhole[h.r.cls()];
-                meanWhole[h.r.cls()] = mean + (Math.min(took, 4 * mean) - mean) * 0.05;
+                meanWhole[h.r.cls()] = learnt(mean, took);
                 // A stream that takes long tells of a slow replica too, but answers differ in length.
                 if (took > SLOW_RATIO * mean) { r.slow += (Math.min(10, took / mean) - r.slow) * 0.25; }
             }
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -111,8 +111,8 @@
 
     /** The client's estimate of the work, in milliseconds; 0 where there is none that can be read. */
     private static double cost(String micros) {
-        boolean number = micros != null && micros.length() <= 15 && Http.digits(micros.strip());
-        return number ? Long.parseLong(micros.strip()) / 1000.0 : 0;
+        String s = micros == null ? "" : micros.strip();
+        return s.length() <= 15 && Http.digits(s) ? Long.parseLong(s) / 1000.0 : 0;
     }
 
     /** A class that there is: the module is never asked to judge another. */
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -62,11 +62,9 @@
      *  how often after that (us). The answer to the first word is what the second one meets. */
     private static final long FIRST_SIGN = 20_000;
     /** Standby: those who send clients hear of it within 0.2 s, and until then a client that is let go may
-     * come
-     * back here; from the first time on (us) each answer is its connection's last, and by the second the
-     * idle
-     *  ones are gone, the longest idle first and not all at once. What a client asks for then has two seconds
-     *  before somebody looks whether all are gone. */
+     *  come back here; from the first time on (us) each answer is its connection's last, and by the second
+     *  the idle ones are gone, the longest idle first and not all at once. What a client asks for then has
+     *  two seconds before somebody looks whether all are gone. */
     private static final long LET_GO_AFTER = 250_000;
     private static final long EMPTY_AFTER = 1_600_000;
     private static final long SIGN = 1_000_000;
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -58,7 +58,7 @@
     private volatile long retireAfter;
     private final int most;
     private volatile boolean resume;
-    private volatile Reports reports = new Reports(new Config.Telemetry(List.of(), false));
+    private volatile Reports reports;
     private final Streams streams;
     private final Map<String, Place> places = new ConcurrentHashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
@@ -67,30 +67,25 @@
     private int connections;
     private ModuleActor module;
 
-    /** Pools of at most so many connections together; {@code resume} if clients ask for the rest of
-     * streams. */
-    public Engines(long connectTimeout, long idleClose, boolean resume, int most, Mailbox.Clock clock,
+    /** Pools of at most so many connections together. */
+    public Engines(Config.Site site, int most, Mailbox.Clock clock,
             ModuleActor.Journal journal, Mailbox.Crew crew, Streams streams) {
         this.crew = crew;
         this.streams = streams;
         this.clock = clock;
         this.journal = journal;
-        settings(connectTimeout, idleClose, resume);
+        settings(site);
         this.most = most;
     }
 
     /** What the settings say of engines, from now on. Any thread. */
-    public void settings(Config.Site site) {
-        settings(site.settings().limits().connectTimeout(), site.idleClose(), site.settings().resume());
+    public final void settings(Config.Site site) {
+        connectTimeoutMs = (int) Math.max(1, site.settings().limits().connectTimeout() / 1000);
+        retireAfter = Math.max(1, (long) (site.idleClose() * RETIRE_AT));
+        resume = site.settings().resume();
         reports = new Reports(site.telemetry());
     }
 
-    private void settings(long connectTimeout, long idleClose, boolean clientsResume) {
-        connectTimeoutMs = (int) Math.max(1, connectTimeout / 1000);
-        retireAfter = Math.max(1, (long) (idleClose * RETIRE_AT));
-        resume = clientsResume;
-    }
-
     /** Names the module's actor; before anything else is called. */
     public void module(ModuleActor actor) {
         this.module = actor;
--- a/src/main/java/magpiehub/ops/Console.java
+++ b/src/main/java/magpiehub/ops/Console.java
@@ -12,6 +12,7 @@
 import java.util.function.UnaryOperator;
 import magpiehub.core.Mailbox;
 import magpiehub.core.ModuleActor;
+import magpiehub.net.Clients;
 
 /**
  * The operators' door: a listener of its own, one line to a connection, one line back. It owns its
@@ -78,7 +79,7 @@
         }
         if (oldest != null) {
             journal.count("console_callers_shed");
-            close(oldest);
+            Clients.closeQuietly(oldest);
         }
     }
 
@@ -86,15 +87,7 @@
         synchronized (callers) {
             callers.remove(s);
         }
-        close(s);
-    }
-
-    private static void close(Socket s) {
-        try {
-            s.close();
-        } catch (IOException e) {
-            // Closed is closed.
-        }
+        Clients.closeQuietly(s);
     }
 
     private void serve(Socket s) {
--- a/src/main/java/magpiehub/ops/StateFile.java
+++ b/src/main/java/magpiehub/ops/StateFile.java
@@ -75,8 +75,7 @@
     }
 
     /** Changes what the file holds, whichever process changed it last. {@code known} is what this process
-     * goes
-     *  by if there is no file that can be used. */
+     *  goes by if there is no file that can be used. */
     synchronized Maintenance.Held change(Maintenance.Held known, UnaryOperator<Maintenance.Held> how)
             throws IOException {
         try (FileChannel c = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
--- a/src/main/java/magpiehub/registry/Discovery.java
+++ b/src/main/java/magpiehub/registry/Discovery.java
@@ -43,9 +43,6 @@
     private record Move(String address) {
     }
 
-    private record Maintain(Set<String> out, Map<String, Long> back, Runnable done) {
-    }
-
     private record Line(Call from, byte[] bytes) {
     }
 
@@ -169,7 +166,7 @@
             } else if (m instanceof Move to) {
                 move(to.address, now);
             } else if (m instanceof Maintain o) {
-                Source.operators(told.operators(o.out, o.back), o.done, engines, module);
+                o.carry(told, engines, module);
             } else if (m instanceof Line l
                     && (l.from == watch || l.from == former || l.from == fetch)) {
                 line(l, now);
--- a/src/main/java/magpiehub/registry/Registry.java
+++ b/src/main/java/magpiehub/registry/Registry.java
@@ -71,9 +71,6 @@
     private record Move(Options options) {
     }
 
-    private record Maintain(Set<String> out, Map<String, Long> back, Runnable done) {
-    }
-
     private record Stop() {
     }
 
@@ -461,7 +458,7 @@
             } else if (m instanceof Ask && known) {
                 out.tell(ListKind.CHANGES, List.of());
             } else if (m instanceof Maintain o) {
-                Source.operators(told.operators(o.out, o.back), o.done, engines, module);
+                o.carry(told, engines, module);
             } else if (m instanceof Move to) {
                 moved(to.options);
             } else if (m instanceof Word w && counts(w.call)) {
--- a/src/main/java/magpiehub/registry/Source.java
+++ b/src/main/java/magpiehub/registry/Source.java
@@ -44,12 +44,16 @@
         module.list(kind, entries.stream().map(Config.Entry::server).toList());
     }
 
-    /** What operators have changed, if anything; then the word that it holds. */
-    static void operators(List<Config.Entry> all, Runnable done, Engines engines, ModuleActor module) {
-        if (!all.isEmpty()) {
-            tell(ListKind.SAVED, all, engines, module);
+    /** What {@link #maintain} says, on its way to the source's own thread. */
+    record Maintain(Set<String> out, Map<String, Long> back, Runnable done) {
+        /** Tells the module what changes by it, if anything, and then that it holds. */
+        void carry(Told told, Engines engines, ModuleActor module) {
+            List<Config.Entry> all = told.operators(out, back);
+            if (!all.isEmpty()) {
+                tell(ListKind.SAVED, all, engines, module);
+            }
+            module.execute(done);
         }
-        module.execute(done);
     }
 
     /** An engine of which only its id is known any more. */
--- a/src/main/java/magpiehub/registry/Told.java
+++ b/src/main/java/magpiehub/registry/Told.java
@@ -53,8 +53,7 @@
     }
 
     /** The operators' word, whole. Returns what the module is told, as a list from before: the whole list,
-     * for
-     *  a change would say that the source tells changes just now; empty where nothing changes. */
+     *  for a change would say that the source tells changes just now; empty where nothing changes. */
     public List<Config.Entry> operators(Set<String> engines, Map<String, Long> calledBack) {
         Set<String> touched = new HashSet<>(out);
         touched.addAll(engines);
--- a/src/main/java/magpiehub/stream/Streams.java
+++ b/src/main/java/magpiehub/stream/Streams.java
@@ -79,8 +79,7 @@
     }
 
     /** What holds from now on: classes and tenants keep their places. The budget and the pace are those of
-     * the
-     *  start. */
+     *  the start. */
     public final void settings(Allowances later, Config.Site site) {
         allowances = later;
         classes = site.settings().classes();
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -155,8 +155,9 @@
 
     /** The program's parts, wired as {@code Main} does. */
     private void start() throws Exception {
-        Config.Site site = Config.site(Config.facts(
-                Files.readAllBytes(Path.of("src/test/resources/" + siteFile)), "settings"));
+        String settings = Files.readString(Path.of("src/test/resources/" + siteFile));
+        Config.Site site = Config.site(Config.facts((resume ? settings
+                : settings.replace("\"resume\":true", "\"resume\":false")).getBytes(), "settings"));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
         Peer d = peers.computeIfAbsent("d", k -> new Peer());
         d.server = new ServerSocket(0, 8, any.getAddress());
@@ -164,11 +165,7 @@
         streams = new Streams(Allowances.of(Config.facts(allowances.getBytes(), "streams.json"),
                 site.settings().classes(), 64 << 20), site, clock,
                 log);
-        Engines engines = new Engines(site.settings().limits().connectTimeout(), site.idleClose(), resume, 64,
-                clock, log, crew, streams);
-        if (resume) {
-            engines.settings(site);
-        }
+        Engines engines = new Engines(site, 64, clock, log, crew, streams);
         engines.start();
         discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), () -> site, engines, clock,
                 log);
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -67,6 +67,13 @@
         return b.redirectErrorStream(true).start();
     }
 
+    /** Answers the watch with a heartbeat; returns the port that the process serves at. */
+    private static int started(BufferedReader log, Socket watch) throws IOException {
+        say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        String started = until(log, " started ");
+        return Integer.parseInt(started.replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
+    }
+
     public static void hangUp(Process p) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor());
     }
@@ -118,9 +125,7 @@
             String fresh = old.replace("\"name\":\"chat\"", "\"name\":\"talk\"");
             Process p = start(config, discovery);
             try (BufferedReader log = p.inputReader(); Socket watch = discovery.accept()) {
-                say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
-                String started = until(log, " started ");
-                int port = Integer.parseInt(started.replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
+                int port = started(log, watch);
                 try (Socket before = new Socket(loopback, port); Socket after = new Socket(loopback, port)) {
                     say(before, ASK);
                     try (Socket at = engine.accept()) {
@@ -195,9 +200,7 @@
             write(config, discovery, engine);
             Process p = start(config, discovery);
             try (BufferedReader log = p.inputReader(); Socket watch = discovery.accept()) {
-                say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
-                String started = until(log, " started ");
-                int port = Integer.parseInt(started.replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
+                int port = started(log, watch);
                 try (Socket client = new Socket(loopback, port)) {
                     say(client, ASK);
                     try (Socket at = engine.accept()) {
--- a/src/test/java/magpiehub/net/EnginesTest.java
+++ b/src/test/java/magpiehub/net/EnginesTest.java
@@ -61,7 +61,7 @@
             }
         };
         try (ServerSocket engine = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            Engines engines = new Engines(250_000, 30_000_000, true, 8, Mailbox.Clock.SYSTEM, log,
+            Engines engines = new Engines(site, 8, Mailbox.Clock.SYSTEM, log,
                     new Mailbox.Crew(), new Streams(Allowances.none(site.settings().classes(), 64 << 20),
                             site,
                     Mailbox.Clock.SYSTEM, log));
--- a/src/test/java/magpiehub/registry/RegistryProof.java
+++ b/src/test/java/magpiehub/registry/RegistryProof.java
@@ -139,7 +139,7 @@
             // A whole client: membership, the module and its engines, as a router has them.
             Config.Site site = Config.site(Config.facts(("{\"zones\":[\"a\"],\"machineTypes\":[\"m\"],"
                     + "\"classes\":[{\"name\":\"c\"}]}").getBytes(), "settings"));
-            Engines engines = new Engines(S, S, true, 64, CLOCK, this, new Mailbox.Crew(), new Streams(
+            Engines engines = new Engines(site, 64, CLOCK, this, new Mailbox.Crew(), new Streams(
                     Allowances.none(site.settings().classes(), 64 << 20), site, CLOCK, this));
             registry = new Registry(options, () -> site, engines, CLOCK, this, seed);
             ModuleActor module = new ModuleActor(site.settings(), seed, CLOCK, engines, registry, this);
