Add a proof that no thread of a router waits by looking again and again

make proof-step SEED=n starts serve by the options of run on one core in the first-in-first-out class, lets threads that the seed draws run ahead of all others, takes a part of the core away, and samples each thread's CPU time and waits. A thread with 1 s of user time and no wait, few system calls, is named with its stack, which is read from outside.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 proof-registry:
 	@timeout 90 java -Xmx2g -cp target/test-classes:target/magpiehub.jar \
 	    magpiehub.registry.RegistryProof $(SEED) $(SCALE)
+
+# One core, one thread at a time, others standing still anywhere: SEED chooses which; STEP is seconds and "spin" plants one.
+.PHONY: proof-step
+proof-step:
+	@timeout 120 java -Xmx256m -cp target/test-classes:target/magpiehub.jar magpiehub.StepProof $(SEED) $(STEP)
--- /dev/null
+++ b/src/test/java/magpiehub/StepProofTest.java
@@ -0,0 +1,37 @@
+package magpiehub;
+
+import static org.junit.Assert.assertEquals;
+
+import org.junit.Test;
+
+/** What the proof of waits counts: CPU time of a thread that has neither waited nor made system calls. */
+public class StepProofTest {
+    private final StepProof.Runs runs = new StepProof.Runs();
+
+    /** Ticks of 10 ms. */
+    private long look(long user, long system, long waits) {
+        return runs.look(7, "t", user, system, waits);
+    }
+
+    @Test
+    public void aSecondWithoutAWaitIsNamed() {
+        assertEquals(-1, look(50, 1, 3));
+        assertEquals(-1, look(149, 1, 3));
+        assertEquals(1_000, look(150, 1, 3));
+        assertEquals(1_000L, runs.longest.get("t").longValue());
+    }
+
+    @Test
+    public void aWaitBeginsTheCountAnew() {
+        look(50, 1, 3);
+        assertEquals(-1, look(150, 1, 4));
+        assertEquals(-1, look(249, 1, 4));
+        assertEquals(1_000, look(250, 1, 4));
+    }
+
+    @Test
+    public void systemCallsAreNoSpin() {
+        look(0, 0, 3);
+        assertEquals(-1, look(200, 100, 3));
+    }
+}
