Wait on monitors: a timed wait on a Condition spun while its signaller stood still

Where one thread runs at a time, a wait that looks again and again never ends.

Cause found: Mailbox.take and Crew.run waited on ReentrantLock's Condition for a time. awaitNanos, once its time is over, reads the clock in a loop until the signaller has put it into the lock's queue; the signaller has taken its mark away by then, and on a lock's first signal allocates the queue's head in between. If that allocation collects garbage and the time runs out meanwhile, the waiter never ends.

Change: mailboxes, the crew and Streams wait on monitors, whose wait gives its turn away; times are rounded up to a millisecond. WaitTest has a taker go first on one core at any moment of a poster: 1000 ms of CPU without a wait before (it stopped after 124 waits), 4,000 takes through now.

--- a/src/main/java/magpiehub/core/Mailbox.java
+++ b/src/main/java/magpiehub/core/Mailbox.java
@@ -2,9 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
 
 /**
  * A mailbox, the clock that its owner waits by, and the threads that empty it: one of its own, or those of a
@@ -19,13 +16,13 @@
     public interface Clock {
         long micros();
 
-        /** Waits on a condition until signalled or until this clock may have reached a time. */
-        default void await(Condition condition, long until) throws InterruptedException {
-            if (until == Long.MAX_VALUE) {
-                condition.await();
-            } else {
-                condition.await(Math.max(1, until - micros()), TimeUnit.MICROSECONDS);
-            }
+        /** Waits on a monitor that the caller holds until notified or until this clock may have reached a
+         *  time; by whole milliseconds, so that it may return one late. A monitor, not the library's
+         *  Condition: a timed wait there that is over while its signaller stands still between two steps
+         *  looks again and again until that one goes on, which never comes where one thread runs at a
+         *  time. */
+        default void await(Object monitor, long until) throws InterruptedException {
+            monitor.wait(until == Long.MAX_VALUE ? 0 : Math.max(1, (until - micros() + 999) / 1000));
         }
 
         /** The machine's monotonic clock. It starts far from zero: to the module, 0 is 'long ago'. */
@@ -45,9 +42,7 @@
     private record Entry<T>(T message, int bytes) {
     }
 
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Condition arrived = lock.newCondition();
-    private final Condition room = lock.newCondition();
+    /** Also the monitor of all that follows: the owner waits on it for messages, a reader for room. */
     private final ArrayDeque<Entry<M>> queue = new ArrayDeque<>(4);
     private final Clock clock;
     private final long most;
@@ -82,36 +77,29 @@
             }
         }
 
-        private final ReentrantLock lock = new ReentrantLock();
-        private final Condition work = lock.newCondition();
+        /** Also the monitor of all that follows; idle threads wait on it. */
         private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
         private final ArrayList<Worker> workers = new ArrayList<>();
         private int idle;
         private long takenAt = System.nanoTime();
 
         void execute(Runnable r) {
-            lock.lock();
-            try {
+            synchronized (waiting) {
                 waiting.add(r);
                 if (idle > 0) {
-                    work.signal();
+                    waiting.notify();
                 } else {
                     grow();
                 }
-            } finally {
-                lock.unlock();
             }
         }
 
         /** Called now and then: all threads may be blocked while nobody posts. */
         public void check() {
-            lock.lock();
-            try {
+            synchronized (waiting) {
                 if (!waiting.isEmpty() && idle == 0) {
                     grow();
                 }
-            } finally {
-                lock.unlock();
             }
         }
 
@@ -153,28 +141,25 @@
         private void run() {
             while (true) {
                 Runnable r;
-                lock.lock();
-                try {
-                    long left = STAY_NANOS;
+                synchronized (waiting) {
+                    long until = System.nanoTime() + STAY_NANOS;
                     while (waiting.isEmpty()) {
+                        long left = until - System.nanoTime();
                         if (left <= 0 && workers.size() > FEW) {
                             workers.remove(Thread.currentThread());
                             return;
                         }
                         idle++;
                         try {
-                            left = work.awaitNanos(Math.max(left, 1_000_000));
+                            waiting.wait(left <= 0 ? STAY_NANOS / 1_000_000 : left / 1_000_000 + 1);
                         } catch (InterruptedException e) {
-                            left = 0; // Nobody interrupts a crew; whoever does has it look again.
+                            until = System.nanoTime(); // Nobody interrupts a crew; it looks again.
                         } finally {
                             idle--;
                         }
-                        left = workers.size() > FEW ? left : STAY_NANOS;
                     }
                     r = waiting.poll();
                     takenAt = System.nanoTime();
-                } finally {
-                    lock.unlock();
                 }
                 r.run();
             }
@@ -184,12 +169,9 @@
     /** Gives the actor its turns on a crew: called whenever there is something to {@link #poll}, never twice
      *  at once. A turn is to take all there is, and must not throw. */
     public void attach(Crew threads, Runnable actorsTurn) {
-        lock.lock();
-        try {
+        synchronized (queue) {
             crew = threads;
             turn = actorsTurn;
-        } finally {
-            lock.unlock();
         }
     }
 
@@ -202,14 +184,11 @@
     private void turns() {
         while (true) {
             turn.run();
-            lock.lock();
-            try {
+            synchronized (queue) {
                 if (queue.isEmpty()) {
                     underWay = false;
                     return;
                 }
-            } finally {
-                lock.unlock();
             }
         }
     }
@@ -223,14 +202,11 @@
     /** False if the message does not fit or the mailbox is closed: then its peer is to be ended. */
     public boolean post(M message, int bytes) {
         boolean start;
-        lock.lock();
-        try {
+        synchronized (queue) {
             if (closed || held + bytes > most) {
                 return false;
             }
             start = put(message, bytes);
-        } finally {
-            lock.unlock();
         }
         if (start) {
             crew.execute(this::turns);
@@ -241,7 +217,7 @@
     private boolean put(M message, int bytes) {
         held += bytes;
         queue.add(new Entry<>(message, bytes));
-        arrived.signal();
+        queue.notifyAll(); // The owner and a reader may both be waiting.
         return due();
     }
 
@@ -249,17 +225,14 @@
      *  single message larger than the mailbox goes in alone. False once the mailbox is closed. */
     public boolean postWhenRoom(M message, int bytes) throws InterruptedException {
         boolean start;
-        lock.lock();
-        try {
+        synchronized (queue) {
             while (!closed && held > 0 && held + bytes > most) {
-                room.await();
+                queue.wait();
             }
             if (closed) {
                 return false;
             }
             start = put(message, bytes);
-        } finally {
-            lock.unlock();
         }
         if (start) {
             crew.execute(this::turns);
@@ -274,24 +247,18 @@
 
     /** The next message, or null once the clock has reached a time. */
     public M take(long until) throws InterruptedException {
-        lock.lock();
-        try {
+        synchronized (queue) {
             while (queue.isEmpty() && clock.micros() < until) {
-                clock.await(arrived, until);
+                clock.await(queue, until);
             }
             return unlockedPoll();
-        } finally {
-            lock.unlock();
         }
     }
 
     /** The next message if one is there. */
     public M poll() {
-        lock.lock();
-        try {
+        synchronized (queue) {
             return unlockedPoll();
-        } finally {
-            lock.unlock();
         }
     }
 
@@ -301,18 +268,15 @@
             return null;
         }
         held -= e.bytes;
-        room.signalAll();
+        queue.notifyAll();
         return e.message;
     }
 
     /** Takes nothing more. What is queued stays for its owner to read. */
     public void close() {
-        lock.lock();
-        try {
+        synchronized (queue) {
             closed = true;
-            room.signalAll();
-        } finally {
-            lock.unlock();
+            queue.notifyAll();
         }
     }
 
--- a/src/main/java/magpiehub/stream/Streams.java
+++ b/src/main/java/magpiehub/stream/Streams.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.RequestClass;
 import magpiehub.core.Contract.Tenant;
@@ -56,8 +54,8 @@
         }
     }
 
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Condition room = lock.newCondition();
+    /** Guards all of the below; readers wait on it for room. */
+    private final Object lock = new Object();
     private volatile Allowances allowances;
     private volatile List<RequestClass> classes;
     private volatile List<Tenant> tenants;
@@ -102,8 +100,7 @@
     // ---- The client's side ----------------------------------------------------------------------------
     /** A request that may become a stream; null if there is no room for one more, and then it is refused. */
     public Flow open(int cls, int tenant, String id, Reader reader) {
-        lock.lock();
-        try {
+        synchronized (lock) {
             if (!budget.admits(clock.micros())) {
                 journal.count("streams_refused");
                 return null;
@@ -111,34 +108,26 @@
             Flow f = new Flow(cls, tenant, id, reader);
             f.account = budget.open(f, of(cls).buffer(), clock.micros());
             return f;
-        } finally {
-            lock.unlock();
         }
     }
 
     /** The client's socket has taken so many of the stream's bytes. */
     public void passed(Flow f, long bytes) {
-        lock.lock();
-        try {
+        synchronized (lock) {
             budget.passed(f.account, bytes, clock.micros());
             signal();
-        } finally {
-            lock.unlock();
         }
     }
 
     /** Whether the client's socket has taken nothing for longer than its class allows, or for {@code least}
      *  (us) where that is shorter. Then the stream is to be cut, and {@code why} is noted for its ending. */
     public boolean stuck(Flow f, long now, long least, Ending why) {
-        lock.lock();
-        try {
+        synchronized (lock) {
             boolean stuck = f.ending == null && f.account.stuckFor(now) > Math.min(least, of(f.cls).pause());
             if (stuck) {
                 f.cutFor(why);
             }
             return stuck;
-        } finally {
-            lock.unlock();
         }
     }
 
@@ -147,8 +136,7 @@
     public void end(Flow f, Ending told) {
         Ending e;
         long now = clock.micros();
-        lock.lock();
-        try {
+        synchronized (lock) {
             e = f.cutFor != null && told == Ending.READER_LEFT ? f.cutFor : told;
             if (f.engine == null) {
                 f.over = true;
@@ -166,8 +154,6 @@
             pace.ended(f.engine);
             budget.close(f.account);
             signal();
-        } finally {
-            lock.unlock();
         }
         journal.count(e.counter());
         if (e != Ending.WHOLE || allowances.logAll()) {
@@ -183,16 +169,13 @@
     // ---- The engine's side ----------------------------------------------------------------------------
     /** The stream belongs to the client now. */
     public void begun(Flow f, String engine) {
-        lock.lock();
-        try {
+        synchronized (lock) {
             if (f.engine == null && !f.over) {
                 f.engine = engine;
                 f.lastEventAt = clock.micros();
                 ledger.begun();
                 pace.begun(engine, f.lastEventAt);
             }
-        } finally {
-            lock.unlock();
         }
     }
 
@@ -200,13 +183,12 @@
      *  bytes are short for all, the stream that is furthest behind is cut. For the engine's own reader. */
     public void came(Flow f, int bytes) throws InterruptedException {
         Flow worst = null;
-        lock.lock();
-        try {
+        synchronized (lock) {
             while (!budget.room(f.account)) {
                 waiting++;
                 f.waits = true;
                 try {
-                    clock.await(room, clock.micros() + LOOK_AGAIN);
+                    clock.await(lock, clock.micros() + LOOK_AGAIN);
                 } finally {
                     waiting--;
                     f.waits = false;
@@ -222,8 +204,6 @@
                 budget.close(a);
                 signal();
             }
-        } finally {
-            lock.unlock();
         }
         if (worst != null) {
             worst.reader.cut();
@@ -233,19 +213,16 @@
     /** Bytes that had come are let go of: their attempt is not the client's. */
     public void dropped(Flow f, long bytes) {
         if (bytes > 0) {
-            lock.lock();
-            try {
+            synchronized (lock) {
                 budget.dropped(f.account, bytes, clock.micros());
                 signal();
-            } finally {
-                lock.unlock();
             }
         }
     }
 
     private void signal() {
         if (waiting > 0) {
-            room.signalAll();
+            lock.notifyAll();
         }
     }
 
@@ -253,11 +230,8 @@
     public void heard(Flow f, String engine, long gap, long now) {
         f.lastEventAt = now;
         if (allowances.pace().learns()) {
-            lock.lock();
-            try {
+            synchronized (lock) {
                 pace.heard(engine, gap, now);
-            } finally {
-                lock.unlock();
             }
         }
     }
@@ -275,11 +249,8 @@
         }
         long limit = allowances.pace().ceiling();
         if (allowances.pace().learns()) {
-            lock.lock();
-            try {
+            synchronized (lock) {
                 limit = pace.limit(engine, now);
-            } finally {
-                lock.unlock();
             }
         }
         Allowances.PerClass own = of(f.cls);
@@ -288,35 +259,26 @@
 
     /** The engine is no longer listed. */
     public void gone(String engine) {
-        lock.lock();
-        try {
+        synchronized (lock) {
             pace.gone(engine);
-        } finally {
-            lock.unlock();
         }
     }
 
     /** Engines that a whole list does not name are gone. */
     public void only(Set<String> listed) {
-        lock.lock();
-        try {
+        synchronized (lock) {
             pace.only(listed);
-        } finally {
-            lock.unlock();
         }
     }
 
     /** One figure a line. */
     public String figures() {
-        lock.lock();
-        try {
+        synchronized (lock) {
             return "streams_open " + ledger.open() + "\nstreams_bytes_held " + budget.held()
                     + "\nstreams_bytes_held_most " + budget.most() + "\nstreams_bytes_budget "
                     + budget.total()
                     + "\nstreams_engines_waiting " + waiting + "\nstreams_shared_slowness_percent "
                     + Math.round(100 * pace.shared()) + "\n";
-        } finally {
-            lock.unlock();
         }
     }
 }
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.Condition;
 import java.util.regex.Pattern;
 import magpiehub.config.Config;
 import magpiehub.core.Mailbox;
@@ -54,8 +53,8 @@
         }
 
         @Override
-        public void await(Condition c, long until) throws InterruptedException {
-            c.await(1, TimeUnit.MILLISECONDS);
+        public void await(Object monitor, long until) throws InterruptedException {
+            monitor.wait(1);
         }
     }
 
--- a/src/test/java/magpiehub/StepProof.java
+++ b/src/test/java/magpiehub/StepProof.java
@@ -309,31 +309,41 @@
         }
     }
 
-    private List<Long> threads() throws IOException {
-        try (var l = Files.list(Path.of("/proc/" + router.pid() + "/task"))) {
-            return l.map(p -> Long.parseLong(p.getFileName().toString())).sorted().toList();
-        }
+    /** A thread as /proc tells it; times in ticks. */
+    record Seen(long thread, String name, long user, long system, long waits) {
     }
 
-    /** One look at all threads; a thread's run that is over the bound, or null. */
-    private String look(Runs runs, Map<String, long[]> cpu) throws IOException, InterruptedException {
-        for (long t : threads()) {
-            String stat;
-            long waits;
+    static List<Seen> seen(long pid) throws IOException {
+        List<Seen> all = new ArrayList<>();
+        List<Path> tasks;
+        try (var l = Files.list(Path.of("/proc/" + pid + "/task"))) {
+            tasks = l.sorted().toList();
+        }
+        for (Path t : tasks) {
             try {
-                stat = Files.readString(Path.of("/proc/" + router.pid() + "/task/" + t + "/stat"));
-                waits = Files.readAllLines(Path.of("/proc/" + router.pid() + "/task/" + t + "/status"))
-                        .stream().filter(l -> l.startsWith("voluntary")).mapToLong(l -> Long.parseLong(
-                                l.replaceAll("\\D", ""))).findFirst().orElse(0);
+                String stat = Files.readString(t.resolve("stat"));
+                long waits = Files.readAllLines(t.resolve("status")).stream()
+                        .filter(l -> l.startsWith("voluntary"))
+                        .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(0);
+                String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+                all.add(new Seen(Long.parseLong(t.getFileName().toString()), stat.substring(
+                        stat.indexOf('(') + 1, stat.lastIndexOf(')')), Long.parseLong(f[11]),
+                        Long.parseLong(f[12]), waits));
             } catch (IOException | java.io.UncheckedIOException e) {
                 continue; // It has ended meanwhile.
             }
-            String name = stat.substring(stat.indexOf('(') + 1, stat.lastIndexOf(')'));
-            String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            cpu.put(name + " " + t, new long[] {Long.parseLong(f[11]), Long.parseLong(f[12])});
-            long ms = runs.look(t, name, Long.parseLong(f[11]), Long.parseLong(f[12]), waits);
+        }
+        return all;
+    }
+
+    /** One look at all threads; a thread's run that is over the bound, or null. */
+    private String look(Runs runs, Map<String, long[]> cpu) throws IOException, InterruptedException {
+        for (Seen t : seen(router.pid())) {
+            cpu.put(t.name + " " + t.thread, new long[] {t.user, t.system});
+            long ms = runs.look(t.thread, t.name, t.user, t.system, t.waits);
             if (ms >= 0) {
-                return name + " (thread " + t + ") ran " + ms + " ms of CPU without a wait\n" + stack(t);
+                return t.name + " (thread " + t.thread + ") ran " + ms + " ms of CPU without a wait\n"
+                        + stack(t.thread);
             }
         }
         return null;
@@ -384,9 +394,9 @@
                     StringBuilder change = new StringBuilder();
                     ahead.forEach(t -> change.append("chrt -f -p 1 ").append(t).append(';'));
                     ahead.clear();
-                    List<Long> all = threads();
+                    List<Seen> all = seen(router.pid());
                     for (int i = random.nextInt(4); i > 0 && !all.isEmpty(); i--) {
-                        ahead.add(all.get(random.nextInt(all.size())));
+                        ahead.add(all.get(random.nextInt(all.size())).thread);
                     }
                     ahead.forEach(t -> change.append("chrt -f -p 2 ").append(t).append(';'));
                     threads.say(change.append(':').toString());
@@ -405,7 +415,7 @@
         return null;
     }
 
-    private static boolean allowed() throws Exception {
+    static boolean allowed() throws Exception {
         return new ProcessBuilder("chrt", "-f", "1", "true").redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor() == 0;
     }
--- /dev/null
+++ b/src/test/java/magpiehub/WaitTest.java
@@ -0,0 +1,82 @@
+package magpiehub;
+
+import static org.junit.Assert.assertEquals;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.util.List;
+import magpiehub.core.Mailbox;
+import org.junit.Assume;
+import org.junit.Test;
+
+/** A mailbox's owner waits without looking again and again, wherever those who post stand still. */
+public class WaitTest {
+    private static final int TAKES = 4_000;
+
+    /** Two threads on one core; whoever goes first does so at any moment of the other. */
+    public static final class Hammer {
+        private Hammer() {
+        }
+
+        public static void main(String[] args) throws IOException {
+            Mailbox<Object> box = new Mailbox<>(Mailbox.Clock.SYSTEM, 1);
+            Mailbox.thread("taker", () -> {
+                try {
+                    for (int i = 0; i < TAKES; i++) {
+                        box.take(Mailbox.Clock.SYSTEM.micros() + 30 + i % 90);
+                        while (box.poll() != null) {
+                            continue;
+                        }
+                    }
+                    System.exit(0);
+                } catch (InterruptedException e) {
+                    System.exit(1);
+                }
+            }).start();
+            System.out.println("begun");
+            System.in.read();
+            while (true) {
+                box.post(args);
+            }
+        }
+    }
+
+    /** Seen with the library's Condition in the mailbox: the taker ran on and on after 124 waits. */
+    @Test
+    public void aTimedWaitEndsWhileItsSignallerStandsStill() throws Exception {
+        Assume.assumeTrue("the first-in-first-out class", StepProof.allowed());
+        String core = Integer.toString(Runtime.getRuntime().availableProcessors() - 1);
+        Process p = new ProcessBuilder("taskset", "-c", core, "chrt", "-f", "1",
+                ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Hammer.class.getName()).redirectErrorStream(true).start();
+        try (BufferedReader out = p.inputReader()) {
+            assertEquals("begun", out.readLine());
+            long taker = taker(p.pid()).thread();
+            assertEquals(0, new ProcessBuilder("chrt", "-f", "-p", "2", Long.toString(taker)).start()
+                    .waitFor());
+            p.getOutputStream().write('\n');
+            p.getOutputStream().flush();
+            StepProof.Runs runs = new StepProof.Runs();
+            while (p.isAlive()) {
+                StepProof.Seen t = taker(p.pid());
+                if (t != null) {
+                    assertEquals("ms of CPU without a wait", -1,
+                            runs.look(taker, "taker", t.user(), t.system(), t.waits()));
+                }
+            }
+            assertEquals(0, p.exitValue());
+        } finally {
+            p.destroyForcibly().waitFor();
+        }
+    }
+
+    private static StepProof.Seen taker(long pid) {
+        try {
+            List<StepProof.Seen> all = StepProof.seen(pid);
+            return all.stream().filter(t -> t.name().equals("taker")).findFirst().orElse(null);
+        } catch (IOException e) {
+            return null; // It has ended.
+        }
+    }
+}
