--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -16,6 +16,7 @@
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
+import org.junit.rules.Timeout;
 
 /** The whole program as a process: what it held at SIGTERM is answered before it ends, and a new
  *  configuration is taken on SIGHUP. */
@@ -23,6 +24,9 @@
     private static final String ASK = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\n"
             + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
 
+    /** Guards against a word that never comes, as where SIGHUP is ignored from the start: it fails then. */
+    @Rule
+    public final Timeout patience = Timeout.seconds(120);
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
 
