Begin a call for the list at least every 3 s until discovery has spoken

Need: after a call to discovery that failed, was refused or given up, a change counts as told 6 s after discovery had it and could be reached.

At fault: Rules.list (1, 2, 4, 8 s times 0.5 to 1.5) and Discovery's one call at a time with 5 s of patience. Ruled out: price and capacity of calls while discovery is down (refusals reach nobody).

Change: core.Asking holds the backoff (0.5 to 0.95 s, then 1 to 1.9 s); registry.Watches, a plain state machine, holds the calls under way: one without an answer after 2 to 2.5 s gets another beside it and keeps its place in the queue, at most two wait. A connection takes a second at most, so an answer has 3 s to wait. A word of a watch that had fallen silent puts nothing off. etcd and Consul: a list that comes by drops is given up after 3 s (30 before, doubling for slow ones), Retry-After is heeded for 2 s at most (60 before).

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -124,9 +124,7 @@
     private int readyCount;
     private int ejectedCount;
     private int inflight;
-    private boolean subscribed;
-    private long askAt;
-    private int askFailures;
+    private final Asking asking;
     private final Table mappings = new Table(MOST_WARM, MOST_MAPPINGS, MAPPING_IDLE);
     private long lastMiss;
     private long rotation;
@@ -187,7 +185,8 @@
         lastCheck = now;
         lastMiss = now;
         // Discovery serves callers in turn: first calls spread out.
-        askAt = now + (long) (random() * Math.min(s.guarantees().askWithin() / 2, 250_000L * s.instances()));
+        asking = new Asking(now + (long) (random()
+                * Math.min(s.guarantees().askWithin() / 2, 250_000L * s.instances())));
         out.timer(now + SWEEP, 1);
     }
 
@@ -231,15 +230,10 @@
     public void list(long time, ListKind kind, List<Server> servers) {
         at(time);
         if (kind == ListKind.ERROR) {
-            subscribed = false;
-            long wait = Math.min(s.guarantees().askWithin(), 1_000_000L << Math.min(askFailures++, 3));
-            askAt = now + (long) (wait * (0.5 + random()));
+            asking.failed(now, s.guarantees().askWithin(), random());
             return;
         }
-        if (kind != ListKind.SAVED) {
-            subscribed = true;
-            askFailures = 0;
-        }
+        if (kind != ListKind.SAVED) { asking.told(); }
         boolean changed = false;
         if (kind != ListKind.CHANGES) {
             Set<String> listed = new HashSet<>();
@@ -340,10 +334,7 @@
     }
 
     private void askIfDue() {
-        if (s.subscribe() && !subscribed && now >= askAt) {
-            askAt = now + s.guarantees().askWithin() / 2;
-            out.watch();
-        }
+        if (s.subscribe() && asking.due(now, s.guarantees().askWithin())) { out.watch(); }
     }
 
     // ---- Prefix table -----------------------------------------------------------------------------------
--- a/src/main/java/magpiehub/registry/Discovery.java
+++ b/src/main/java/magpiehub/registry/Discovery.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
@@ -25,24 +24,18 @@
 import magpiehub.net.Http;
 
 /**
- * The platform's discovery: it asks when the module says so, one watch and one call at a time, and hands what
- * comes to a {@link View}, which keeps the order of revisions. It owns the address that it asks. It must
- * never ask again by itself (the module backs off) but for the one watch that opens a new address or follows
- * one that has fallen silent, take silence for peace, or doubt the list: here it counts as it stands. Lists
- * are JSON values, however they are laid out and cut into chunks; blank lines between them are signs of life.
+ * The platform's discovery: it asks when the module says so, and hands what comes to a {@link View}, which
+ * keeps the order of revisions. Which calls are under way is for {@link Watches} to say. It owns their
+ * connections. It must never ask by itself, take silence for peace, or doubt the list: here it counts as it
+ * stands. Lists are JSON values, however they are laid out and cut into chunks; blank lines between them are
+ * signs of life.
  */
 public final class Discovery implements Source {
-    /** Discovery writes at least an empty line each 2 s; what a silent watch misses counts as told 6 s after
-     *  it fell silent. A watch that is late by a quarter of a beat gets a successor, somewhere within the
-     *  following 1.5 s, so that a fleet whose watches fall silent together does not ask in one moment; the
-     *  wait in discovery's queue comes on top. The old watch goes on until the new one has spoken (us). */
-    private static final long LATE = 2_500_000;
-    private static final long LATE_SPREAD = 1_500_000;
     /** One list at most: the longest that the platform has is a hundredth of it (bytes). */
     private static final int MOST_VALUE = 4 << 20;
     /** Causes of unreadable lists that are logged, each once. */
     private static final int MOST_CAUSES = 32;
-    /** Discovery serves calls in turn and gives up on those that wait too long; so does this side (us). */
+    /** A call for the list alone that says nothing for so long has failed (us). */
     private static final long PATIENCE = 5_000_000;
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final int MAILBOX_BYTES = 8 << 20;
@@ -68,36 +61,30 @@
     }
 
     /** One call under way. */
-    private static final class Call {
+    private static final class Call extends Watches.Call {
         final boolean watch;
-        final String address;
         final Socket socket = new Socket();
         boolean first = true;
-        /** When it has failed, and, once it has spoken, when it is late (us). */
-        long until;
-        long late = Long.MAX_VALUE;
+        /** Of a call for the list alone: when it has failed (us). */
+        long until = Long.MAX_VALUE;
 
         Call(boolean watch, String address) {
+            super(address);
             this.watch = watch;
-            this.address = address;
         }
     }
 
-    private String address;
     private final Entries names;
     private final Engines engines;
     private final Mailbox.Clock clock;
     private final ModuleActor.Journal journal;
     private final Mailbox<Object> mailbox;
     private final Supplier<Config.Site> site;
-    private final SplittableRandom random;
     private final Set<String> unreadable = new HashSet<>();
     private final View view = new View();
     private final Told told = new Told();
+    private final Watches watches;
     private ModuleActor module;
-    private Call watch;
-    /** The watch before, on another address or silent: it counts until the newer one has told its first. */
-    private Call former;
     private Call fetch;
     /** Whose numbers the view's position is one of. */
     private String toldBy;
@@ -108,10 +95,9 @@
     /** An actor for discovery at an address. */
     public Discovery(String address, Supplier<Config.Site> site, Engines engines, Mailbox.Clock clock,
             ModuleActor.Journal journal, long seed) {
-        this.address = address;
+        this.watches = new Watches(address, new Carrier(), seed);
         this.toldBy = address;
         this.site = site;
-        this.random = new SplittableRandom(seed);
         this.names = Entries.platform(site, clock.micros());
         this.engines = engines;
         this.clock = clock;
@@ -185,22 +171,24 @@
             Object m = mailbox.take(next());
             long now = clock.micros();
             if (m instanceof Ask a) {
-                ask(a.watch, now);
+                if (a.watch) {
+                    watches.ask(now);
+                } else {
+                    fetch(now);
+                }
             } else if (m instanceof Unwatch) {
-                Call c = watch;
-                watch = null;
-                close(c);
-                close(former);
-                former = null;
+                watches.end();
             } else if (m instanceof Move to) {
-                move(to.address, now);
+                String from = watches.address();
+                if (watches.move(to.address, now)) {
+                    journal.count("discovery_moves");
+                    journal.log("discovery-moved", "from", from, "to", to.address);
+                }
             } else if (m instanceof Maintain o) {
                 o.carry(told, engines, module);
-            } else if (m instanceof Heard h
-                    && (h.from == watch || h.from == former || h.from == fetch)) {
+            } else if (m instanceof Heard h && counts(h.from)) {
                 heard(h, now);
-            } else if (m instanceof Ended e
-                    && (e.from == watch || e.from == former || e.from == fetch)) {
+            } else if (m instanceof Ended e && counts(e.from)) {
                 if (e.unreadable) {
                     journal.count("lists_unreadable");
                     if (unreadable.size() < MOST_CAUSES && unreadable.add(e.why)) {
@@ -209,18 +197,10 @@
                 }
                 ended(e.from, e.why);
             } else if (m == null) {
-                for (Call c : new Call[] {watch, former, fetch}) {
-                    if (c != null && c.until <= now) {
-                        ended(c, "silent");
-                    }
-                }
-                if (watch != null && watch.late <= now) {
-                    journal.count("watches_silent");
-                    journal.log("watch-silent", "discovery", address);
-                    former = watch;
-                    watch = null;
-                    ask(true, now);
+                if (fetch != null && fetch.until <= now) {
+                    ended(fetch, "silent");
                 }
+                watches.tick(now);
             }
         } catch (RuntimeException | OutOfMemoryError e) {
             // Ends what was being done; a call that came to nothing by it ends as silent.
@@ -231,53 +211,68 @@
 
     /** When to look again, whatever comes. */
     private long next() {
-        long next = Long.MAX_VALUE;
-        for (Call c : new Call[] {watch, former, fetch}) {
-            next = c == null ? next : Math.min(next, c == watch ? Math.min(c.until, c.late) : c.until);
-        }
-        return next;
+        return Math.min(watches.next(), fetch == null ? Long.MAX_VALUE : fetch.until);
     }
 
-    /** Guards against a gap: the watch on the old address goes on until the new one has spoken. The new
-     *  address is asked at once, since the old one's end would come too late, and for the whole list. */
-    private void move(String to, long now) {
-        if (to.equals(address)) {
-            return;
+    private boolean counts(Call c) {
+        return c.watch ? watches.counts(c) : c == fetch;
+    }
+
+    /** The watches' calls. */
+    private final class Carrier implements Watches.Host {
+        @Override
+        public Call begin(String to) {
+            Call c = new Call(true, to);
+            Discovery.this.begin(c);
+            return c;
+        }
+
+        @Override
+        public void close(Watches.Call c) {
+            Clients.closeQuietly(((Call) c).socket);
+        }
+
+        @Override
+        public void late(Watches.Call c, boolean spoken) {
+            // A discovery that does not answer is no reason to keep clients away from a list that is known.
+            heard = true;
+            journal.count(spoken ? "watches_silent" : "discovery_answers_late");
+            journal.log(spoken ? "watch-silent" : "discovery-late", "discovery", c.address);
         }
-        journal.count("discovery_moves");
-        journal.log("discovery-moved", "from", address, "to", to);
-        address = to;
-        if (former == null && watch != null && !watch.first) {
-            former = watch;
-            watch = null;
+
+        @Override
+        public void failed(Watches.Call c, String why) {
+            Discovery.this.failed("watch", why);
         }
-        ask(true, now);
     }
 
-    private void ask(boolean forWatch, long now) {
-        // One of a kind at a time: a second watch would be another call in discovery's queue.
-        close(forWatch ? watch : fetch);
-        Call c = new Call(forWatch, address);
-        c.until = now + PATIENCE;
-        if (forWatch) {
-            watch = c;
-        } else {
-            fetch = c;
+    private void fetch(long now) {
+        // One at a time: a second one would be another call in discovery's queue.
+        closeFetch();
+        fetch = new Call(false, watches.address());
+        fetch.until = now + PATIENCE;
+        begin(fetch);
+    }
+
+    private void closeFetch() {
+        if (fetch != null) {
+            Clients.closeQuietly(fetch.socket);
         }
+        fetch = null;
+    }
+
+    private void begin(Call c) {
         journal.count("discovery_calls");
-        String target = "/discovery/hosts" + (!forWatch ? ""
+        String target = "/discovery/hosts" + (!c.watch ? ""
                 : "?follow=1" + (view.position().number() >= 0
-                        && toldBy.equals(address) ? "&since=" + view.position().number() : ""));
+                        && toldBy.equals(c.address) ? "&since=" + view.position().number() : ""));
         Mailbox.thread("discovery-reader", () -> read(c, target)).start();
     }
 
     private void heard(Heard h, long now) {
         Call from = h.from;
-        from.until = now + PATIENCE;
-        from.late = from.watch ? now + LATE + random.nextLong(LATE_SPREAD) : Long.MAX_VALUE;
-        if (from == watch && former != null) {
-            close(former);
-            former = null;
+        if (from.watch) {
+            watches.spoke(from, now);
         }
         if (h.word == null) {
             journal.count("discovery_beats");
@@ -291,30 +286,28 @@
             from.first = false;
             tell(ListKind.CHANGES, List.of());
         }
-        if (from == former && watch == null) {
+        if (from.watch && h.word != null && watches.forsaken()) {
             // Its word counts, but the newer watch has failed: the module is to go on asking for one.
             module.list(ListKind.ERROR, List.of());
         }
         if (!from.watch && !from.first) {
-            close(fetch);
-            fetch = null;
+            closeFetch();
         }
     }
 
     private void ended(Call c, String why) {
-        close(c);
-        if (c == former) {
-            former = null; // Its address has closed it; the watch on the new one is under way or asked for.
-            return;
-        }
-        if (c == watch) {
-            watch = null;
+        if (c.watch) {
+            watches.ended(c, why);
         } else {
-            fetch = null;
+            closeFetch();
+            failed("list", why);
         }
+    }
+
+    private void failed(String call, String why) {
         heard = true;
         journal.count("discovery_failures");
-        journal.log("discovery-failed", "call", c.watch ? "watch" : "list", "why", why);
+        journal.log("discovery-failed", "call", call, "why", why);
         module.list(ListKind.ERROR, List.of());
     }
 
@@ -385,12 +378,6 @@
                 "entries", Integer.toString(entries.size()));
     }
 
-    private static void close(Call c) {
-        if (c != null) {
-            Clients.closeQuietly(c.socket);
-        }
-    }
-
     // ---- The reader -----------------------------------------------------------------------------------
     private void read(Call c, String target) {
         String why = "ended";
--- a/src/main/java/magpiehub/registry/Registry.java
+++ b/src/main/java/magpiehub/registry/Registry.java
@@ -26,8 +26,10 @@
  */
 public final class Registry implements Source {
     private static final int MAILBOX_BYTES = 16 << 20;
-    /** A list that keeps coming is waited for, but not for ever (us). */
+    /** A list that keeps coming is waited for, but not for ever; and at first only for so long that another
+     *  endpoint can tell its own within the 6 s after which what a registry has counts as told (us). */
     private static final long LONGEST_LIST = 30_000_000;
+    private static final long LIST_IN_TIME = 3_000_000;
     /** After a check that saw more than the watch has told: how soon the next one decides (us). */
     private static final long SOON = 300_000;
     private static final long BETWEEN_LISTS = 250_000;
@@ -282,6 +284,8 @@
         long mainAt;
         long checkAt = Long.MIN_VALUE;
         long listedAt = Long.MIN_VALUE / 2;
+        /** How long a list may keep coming: twice as long as the last one that was given up for it. */
+        long longest = LIST_IN_TIME;
 
         Session(Options o, long now) throws IOException {
             options = o;
@@ -520,9 +524,11 @@
             if (c != null && c.until <= now) {
                 Wire w = c.wire;
                 long heard = w == null ? c.startedAt : Math.max(c.startedAt, w.heard());
-                if (heard + s.options.timeout() > now && c.startedAt + LONGEST_LIST > now && !waits(c)) {
-                    c.until = heard + s.options.timeout();
+                boolean comes = c.kind == Kind.LIST && heard + s.options.timeout() > now;
+                if (comes && c.startedAt + s.longest > now) {
+                    c.until = Math.min(c.startedAt + s.longest, heard + s.options.timeout());
                 } else {
+                    s.longest = comes ? Math.min(LONGEST_LIST, 2 * s.longest) : s.longest;
                     c.cancel();
                     ended(c, new Silent());
                 }
@@ -546,12 +552,6 @@
         }
     }
 
-    /** A blocking query that has outlived its wait, jitter included, is not held up by bytes still to come.
-     *  */
-    private static boolean waits(Call c) {
-        return c.kind == Kind.WATCH && c.first;
-    }
-
     private void startMain(Session s) {
         int e = s.endpoints.pick(now);
         if (e < 0) {
@@ -652,6 +652,7 @@
         if (r.verdict() == View.Verdict.APPLIED) {
             s.told = true;
             s.listedAt = now;
+            s.longest = Math.max(LIST_IN_TIME, c.kind == Kind.LIST ? 2 * (now - c.startedAt) : 0);
             if (former != null && s == current) {
                 former.end();
                 former = null;
--- a/src/main/java/magpiehub/registry/Wire.java
+++ b/src/main/java/magpiehub/registry/Wire.java
@@ -30,6 +30,9 @@
 final class Wire implements AutoCloseable {
     /** A longer answer is no list of engines: 10,000 entries of Consul's health take some 10 MB. */
     static final int MOST_BYTES = 64 << 20;
+    /** What it has to tell counts as told 6 s later, whatever it says of when to come back: that word is
+     *  heeded for so long (us). */
+    static final long MOST_LATER = 2_000_000;
     /** etcd answers with at most some 2 MB a page, and writes it in one chunk. */
     static final int MOST_LINE = 8 << 20;
 
@@ -156,7 +159,7 @@
         }
         Http.Head h = in.head(false);
         if (h.status() != 200 && h.status() != also) {
-            throw new Refused(h.status(), text(h), retryAfter(h));
+            throw new Refused(h.status(), text(h), retryAfter(h.get("Retry-After")));
         }
         return h;
     }
@@ -185,10 +188,9 @@
         }
     }
 
-    private static long retryAfter(Http.Head h) {
-        String v = h.get("Retry-After");
+    static long retryAfter(String v) {
         try {
-            return v == null ? 0 : Math.max(0, Math.min(60_000_000, (long) (Double.parseDouble(v) * 1e6)));
+            return v == null ? 0 : Math.max(0, Math.min(MOST_LATER, (long) (Double.parseDouble(v) * 1e6)));
         } catch (NumberFormatException e) {
             return 0; // A date: the endpoint's own wait will do.
         }
--- a/src/test/java/magpiehub/registry/PartsTest.java
+++ b/src/test/java/magpiehub/registry/PartsTest.java
@@ -110,6 +110,16 @@
         assertEquals("not even after another failed once", first, two.pick(11 * S));
     }
 
+    /** A registry that asks to be left alone for a minute is asked again in time all the same. */
+    @Test
+    public void noWordOfTheRegistryPutsTheListOff() {
+        assertEquals(0, Wire.retryAfter(null));
+        assertEquals(S / 5, Wire.retryAfter("0.2"));
+        assertEquals(2 * S, Wire.retryAfter("60"));
+        assertEquals(0, Wire.retryAfter("-1"));
+        assertEquals(0, Wire.retryAfter("Wed, 21 Oct 2026 07:28:00 GMT"));
+    }
+
     // ---- The list on disk -----------------------------------------------------------------------------
     @Test
     public void theLastListComesBackWholeOrNotAtAll() throws Exception {
--- a/src/test/java/magpiehub/registry/RegistryTest.java
+++ b/src/test/java/magpiehub/registry/RegistryTest.java
@@ -194,6 +194,22 @@
         Rig.await(() -> client.logged.indexOf("why silent") >= 0, () -> client.logged.toString());
     }
 
+    /** One whose answers come by the byte is never silent; another has told the list within the 6 s all the
+     *  same. */
+    @Test
+    public void anEndpointWhoseListDripsIsLeft() throws Exception {
+        burst(100, 20);
+        registry.endpoints.get(0).fault(Fault.DRIPS);
+        registry.endpoints.get(1).fault(Fault.DOWN);
+        client = new Rig.Client(Rig.options(kind, registry.addresses(), ""));
+        Rig.await(() -> !registry.asked.isEmpty(), () -> client.logged.toString());
+        registry.endpoints.get(1).fault(Fault.NONE);
+        long back = System.nanoTime();
+        client.follows(registry);
+        assertTrue("in time", System.nanoTime() - back < 6_000_000_000L);
+        registry.endpoints.get(0).fault(Fault.NONE);
+    }
+
     @Test
     public void oneUnreadableEntryIsNamedAndLeftOut() throws Exception {
         registry.put("bad", "{\"host_port\":");
--- a/src/test/java/magpiehub/registry/StandIn.java
+++ b/src/test/java/magpiehub/registry/StandIn.java
@@ -30,7 +30,7 @@
 final class StandIn implements AutoCloseable {
     static final String PREFIX = "fleet/engines/";
     /** How each further write of an endpoint ends. */
-    enum Fault { NONE, DOWN, SILENT, MUTE, UNAUTHORISED, REFUSING, NO_LEADER }
+    enum Fault { NONE, DOWN, SILENT, MUTE, DRIPS, UNAUTHORISED, REFUSING, NO_LEADER }
 
     record Version(long rev, byte[] value) {
     }
@@ -281,6 +281,11 @@
 
         /** Writes all, or as much as the script lets through. */
         private void cutTo(OutputStream out, byte[] all) throws IOException {
+            for (int i = 0; fault == Fault.DRIPS; i = Math.min(i + 1, all.length - 1)) {
+                out.write(all, i, 1);
+                out.flush();
+                java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+            }
             int most = cutAfter;
             if (most >= 0 && most < all.length) {
                 cutAfter = -1;
