Begin no attempt for a client whose end has been read

Read through every place where a request can wait: the end is read by the connection's reader and goes through two mailboxes (the connection's, the module's) behind whatever is there; in between the module took the request, tried again elsewhere, or a connection to an engine came up, and bytes were written. At fault: ModuleActor.taken and Decisions.send, which asked nobody; Engines.write, which asked only whether the request was over. Also found: the reader gave up after 1 s or 1 MB of what comes behind an unreadable message and said that the client had left, so the request ahead of it was never answered (Clients.discard).

Change: the reader says at once that the client has left (a flag of the connection); the module looks at it when it takes a request, at the end of an attempt and before it starts one, and the engines' side right before the bytes. discard reads on until either side ends the connection, slowly beyond 1 MB.

--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -32,6 +32,9 @@
 
         /** A running stream is ended so that its client asks for the rest elsewhere. */
         void move();
+
+        /** Whether it has closed its connection, known from the moment that its end was read. Any thread. */
+        boolean gone();
     }
 
     /** One attempt as the engines' side holds it. */
@@ -101,9 +104,12 @@
             this.until = until;
         }
 
-        /** What the front handed in with the request, untouched; null once the request is over. */
+        /** What the front handed in with the request, untouched; null once the request is over or its client
+         *  has gone. Asked right before an attempt's bytes go out: a word of the end may still be on its way
+         *  through mailboxes, and nothing may begin for somebody who has left. */
         public Object work() {
-            return open.work;
+            Client c = open.client;
+            return c == null || c.gone() ? null : open.work;
         }
     }
 
@@ -315,6 +321,11 @@
 
     // ---- Events ---------------------------------------------------------------------------------------
     private void taken(Request r, Client client, Object work) {
+        if (client.gone()) {
+            journal.count("taken");
+            journal.count("answered_abandoned");
+            return;
+        }
         if (requests.containsKey(r.id())) {
             // Somebody else's open request: neither its client nor its engine may be mixed up with this one.
             journal.count("answered_failed");
@@ -359,6 +370,9 @@
         a.over = true;
         a.handle = NOTHING; // Its connection serves others, or is gone: timers are not to hold it.
         Open o = a.open;
+        if (o.begun == null && !o.answered && o.client.gone()) {
+            left(o.request.id()); // Its word is on the way: no further attempt is thought of.
+        }
         boolean settled = o.answered || o.begun == a || outcome == Outcome.OK;
         journal.count("attempt_" + outcome.name().toLowerCase(Locale.ROOT));
         if (settled && !o.answered) {
@@ -420,6 +434,10 @@
                     : Math.min(o.request.deadline(), now + Math.max(0, timeout));
             Attempt a = new Attempt(o, o.attempts.size(), server, now, until);
             o.attempts.add(a);
+            if (o.client.gone()) {
+                gone(id); // In a turn of its own, which ends the attempt too.
+                return;
+            }
             journal.count("sent");
             at(until, () -> expire(a));
             try {
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -395,6 +395,11 @@
         public void move() {
             connection.post(new Broken(this, null, Ending.MOVED), 0);
         }
+
+        @Override
+        public boolean gone() {
+            return connection.left;
+        }
     }
 
     /** One connection: its actor's state, and its reader. */
@@ -425,6 +430,9 @@
         private volatile boolean asked;
         private volatile boolean reading;
         private volatile boolean leaving;
+        /** The client's end has been read, or its connection is closed: nothing more may begin for it. Set by
+         *  whoever learns it first, ahead of the word that goes through mailboxes. */
+        private volatile boolean left;
         /** When this connection is to be told that time has passed. */
         private volatile long due = quietSince + FIRST_REQUEST;
         private boolean gone;
@@ -478,6 +486,7 @@
         private boolean cutOnce() {
             boolean first = full.compareAndSet(false, true);
             if (first) {
+                left = true;
                 closeQuietly(socket);
                 mailbox.post(new Left());
             }
@@ -550,22 +559,29 @@
                 journal.count("reader_exceptions");
                 journal.log("reader-exception", "error", e.toString());
             } finally {
+                if (!half && !left) {
+                    left = true;
+                    journal.count("clients_left");
+                }
                 mailbox.post(half ? new HalfClosed() : new Left());
             }
         }
 
-        /** Reads what a malformed message still brings, so that the answer to it arrives. */
+        /** Reads what a malformed message still brings until the client's end or the actor's: the answer to
+         *  it is to arrive, and so is that to a request ahead of it, unless the client leaves. Guards against
+         *  a client that never stops: beyond a limit it is read slowly. */
         private void discard() {
             try {
-                socket.setSoTimeout((int) (LINGER / 1000));
-                byte[] b = new byte[4096];
-                for (int n = 0, k; n < MOST_DISCARDED; n += k) {
-                    k = socket.getInputStream().read(b);
-                    if (k < 0) {
-                        return;
+                socket.setSoTimeout(0);
+                byte[] b = new byte[16 * 1024];
+                int n = 0;
+                for (int k = 0; k >= 0; k = socket.getInputStream().read(b)) {
+                    n = Math.min(MOST_DISCARDED, n + k);
+                    if (n == MOST_DISCARDED) {
+                        Thread.sleep(1);
                     }
                 }
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 // It is being closed anyway.
             }
         }
@@ -628,6 +644,7 @@
 
         /** The end of this connection; what is posted later is let go of. */
         private void end() {
+            left = true;
             closeQuietly(socket);
             mailbox.close();
             for (Object m = mailbox.poll(); m != null; m = mailbox.poll()) {
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
@@ -121,6 +122,8 @@
     private Clients clients;
     private Discovery discovery;
     private Thread module;
+    private ModuleActor actor;
+    private CountDownLatch held;
     private boolean messages;
     private int most = 64;
     private String allowances = "{}";
@@ -170,7 +173,7 @@
         engines.start();
         discovery = new Discovery("127.0.0.1:" + d.server.getLocalPort(), () -> site, engines, clock,
                 log, 7);
-        ModuleActor actor = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
+        actor = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
         engines.module(actor);
         Front front = messages ? new MessagesFront(() -> site, new MessagesFront.Options("", "chat", "",
                 Map.of()), null)
@@ -222,6 +225,18 @@
                     return there;
                 }, "the counter never came to " + p[1]);
             }
+            case "hold" -> {
+                held = new CountDownLatch(1);
+                CountDownLatch until = held;
+                actor.execute(() -> {
+                    try {
+                        until.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+            }
+            case "release" -> held.countDown();
             case "stop" -> clients.stopAccepting();
             case "closing" -> clients.closeIdle();
             case "logged" -> await(() -> glob(".*" + quote(rest) + ".*",
--- a/src/test/java/magpiehub/core/ModuleActorTest.java
+++ b/src/test/java/magpiehub/core/ModuleActorTest.java
@@ -16,6 +16,8 @@
     private final List<ModuleActor.Attempt> attempts = new ArrayList<>();
     private boolean fleetFails;
     private boolean moduleFails;
+    private boolean clientGone;
+    private boolean leavesInTheTurn;
     private int watches;
     private long now = 1_000_000;
     private final ModuleActor.Client client = new ModuleActor.Client() {
@@ -33,6 +35,11 @@
         public void move() {
             done.add("move");
         }
+
+        @Override
+        public boolean gone() {
+            return clientGone;
+        }
     };
     private final ModuleActor.Fleet fleet = new ModuleActor.Fleet() {
         @Override
@@ -84,6 +91,7 @@
     private final ModuleActor.Journal journal = new ModuleActor.Journal() {
         @Override
         public void count(String name) {
+            clientGone |= leavesInTheTurn && name.equals("taken");
             if (name.equals("sent") && moduleFails) {
                 throw new IllegalStateException("made to fail inside the module's turn");
             }
@@ -180,6 +188,40 @@
         assertEquals(List.of("start a", "abort a", "refuse at 1400000"), done);
     }
 
+    /** Its word is still in a mailbox; nothing begins for it, and what is out is closed once. */
+    @Test
+    public void nothingBeginsForAClientThatHasGone() throws InterruptedException {
+        clientGone = true;
+        ask("a", "b");
+        assertEquals("before it was taken", List.of(), done);
+        clientGone = false;
+        ask("a", "b");
+        String first = attempts.get(0).server;
+        clientGone = true;
+        assertEquals("a connection that comes up now is for nobody", null, attempts.get(0).work());
+        actor.ended(attempts.get(0), Outcome.ERROR, -1, null);
+        turns();
+        actor.gone("r");
+        turns();
+        assertEquals("no second attempt, and no answer", List.of("start " + first), done);
+        clientGone = false;
+        ask("a", "b");
+        assertEquals("the id is free again", 2, attempts.size());
+    }
+
+    /** It leaves while the module decides: what was decided is not carried out, and no attempt stays open. */
+    @Test
+    public void whatIsDecidedWhileAClientLeavesIsNotCarriedOut() throws InterruptedException {
+        leavesInTheTurn = true;
+        ask("a");
+        assertEquals(List.of(), done);
+        assertEquals(0, actor.held());
+        leavesInTheTurn = false;
+        clientGone = false;
+        ask("a");
+        assertEquals(List.of("start a"), done);
+    }
+
     @Test
     public void aBegunStreamHasNoDeadlineAndAMoveEndsIt() throws InterruptedException {
         ask("a");
