Share a cold engine's due over all routers by places that differ between them

Need: cold servers fall under the sum of all routers: budget N in a window of the fall rule, chance only 2 x root of N + 2.

At fault: Rules.coldAllows, a bucket of one request a router. Ruled out: the rate (its sum is right), restarts.

Change: what a router has earned, up to its part of one window's budget, is rounded by a place between 0 and 1 that differs between routers and windows; a router begins as one that has sent for long; the due is shared over the warmth that is usual, so that losing servers does not make the rest look large. COLD_CARE, COLD_PART and COLD_FIRST are gone: root of overloadFactor and its inverse, never nearer to the factor than root of 2.

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -80,13 +80,8 @@
     private static final double QUICK_ERROR = 0.25;
     /** Attempts for one request at most, whatever the site allows. */
     private static final int MOST_TRIES = 4;
-    /** A cold replica gets so many times its due by the capacity promised for its age, which is the least:
-     *  sent less it idles while the warm ones drown, though each request costs it more. Within the first
-     *  window of rule 4, when one burst may spend the budget, it gets less. Never over seven tenths of the
-     *  multiple under which it falls: it reads whole prompts, and what the warm ones bear is a guess. */
-    private static final double COLD_CARE = 1.8;
-    private static final double COLD_PART = 0.7;
-    private static final double COLD_FIRST = 0.5;
+    /** The golden section: its multiples, modulo 1, lie as far apart as any. */
+    private static final double GOLDEN = 0.6180339887;
     /** Health check period (us) for a replica unheard of that long, over all nodes together. */
     private static final long CHECK_PERIOD = 10_000_000;
     /** Part of the keys that stay in the own zone where crossing has a price: the most, its steps up and
@@ -161,6 +156,8 @@
     private final long startedAt;
     /** Replicas that are ready, each by its warmth, and when that was summed. */
     private double warm;
+    /** The same as a mean over {@link #SHARE_TAU}, as the work is that this node's traffic is taken from. */
+    private double usual;
     private long warmAt = NEVER / 2;
 
     /** A node that has just started and knows nothing. */
@@ -333,10 +330,6 @@
         return shuffled.subList(at, slices == 1 ? from.size() : at + CONNECTED);
     }
 
-    private void askIfDue() {
-        if (s.subscribe() && asking.due(now, s.guarantees().askWithin())) { out.watch(); }
-    }
-
     // ---- Prefix table -----------------------------------------------------------------------------------
     /** Replicas that a prefix's part of this node's traffic would keep warm. */
     private double need(Mapping m) {
@@ -898,9 +891,9 @@
     private void startCold(Replica r, long since) {
         r.coldSince = since;
         r.coldAt = now;
-        // Where a node's part is under one request, nodes begin at different points of their budget.
-        double place = s.me() + (mix(since ^ r.hash) >>> 11) * 0x1.0p-53 * s.instances();
-        r.coldTokens = place / s.instances() % 1;
+        // Where a node's part is under one request, nodes have places evenly spread.
+        r.coldPlace = s.me() / (double) s.instances() + (mix(since ^ r.hash) >>> 11) * 0x1.0p-53;
+        r.coldAt = NEVER;
         r.limit = 64;
     }
 
@@ -918,10 +911,16 @@
             warmAt = now;
             warm = 0;
             for (Replica r : fleet) { warm += r.ready ? warmth(r) : 0; }
+            usual = usual == 0 ? warm : usual + (warm - usual) * SWEEP / SHARE_TAU;
         }
         return Math.max(warm, 0.5 * readyCount);
     }
 
+    /** What all nodes send together counts, and none knows more than its own part. Each earns its part of the
+     *  replica's due by what it sends itself, up to its part of the budget of one window, and sends where
+     *  that lies over a place between 0 and 1, another one for each node and window: of thirty that come in
+     *  one moment with a third of a request each, ten go. At first it counts as one that has sent for long.
+     */
     private boolean coldAllows(Replica r) {
         if (r.coldSince == NEVER) { return true; }
         double part = warmth(r);
@@ -932,12 +931,19 @@
         // By what was sent, not asked: under overload clients ask several times over. A node that has just
         // started has sent for a short time only: by the whole time constant it would count as idle.
         double perTime = sent / (SHARE_TAU * -Math.expm1(Math.min(-0.1, (startedAt - now) / SHARE_TAU)));
-        double perReplica = r.part * perTime / Math.max(1, warmth());
-        double care = Math.min(now - r.coldSince < s.guarantees().fall() ? COLD_FIRST : COLD_CARE,
-                COLD_PART * s.guarantees().overloadFactor());
-        r.coldTokens = Math.min(1, r.coldTokens + perReplica * part * care * (now - r.coldAt));
+        double due = part * r.part / Math.max(1, Math.max(warmth(), usual));
+        // Half way, by the multiple, between the bare due, with which it idles while the warm ones drown, and
+        // what fells it, and not nearer to that than the root of a half; as far below the due within the
+        // first window, when one burst may spend the budget.
+        double factor = s.guarantees().overloadFactor();
+        long window = (now - r.coldSince) / Math.max(1, s.guarantees().fall());
+        double care = due * Math.min(Math.sqrt(window == 0 ? 1 / factor : factor), Math.sqrt(0.5) * factor);
+        // A node that sees few spreads its keys by session: no key can lead all nodes to one replica.
+        double most = seen < ENOUGH_SEEN ? care * readyCount : factor * due * perTime * s.guarantees().fall();
+        r.coldTokens = Math.min(Math.min(1, most), r.coldAt == NEVER ? care * readyCount
+                : r.coldTokens + care * perTime * (now - r.coldAt));
         r.coldAt = now;
-        return r.coldTokens >= 1;
+        return r.coldTokens > (r.coldPlace + GOLDEN * window) % 1;
     }
 
     // ---- Fairness and overload --------------------------------------------------------------------------
@@ -999,7 +1005,8 @@
         at(time);
         if (token != 1) { return; }
         out.timer(now + SWEEP, 1);
-        askIfDue();
+        if (s.subscribe() && asking.due(now, s.guarantees().askWithin())) { out.watch(); }
+        warmth();
         planZones();
         healthCheck();
         if (now - lastControl >= CONTROL) {
--- a/src/main/java/magpiehub/core/State.java
+++ b/src/main/java/magpiehub/core/State.java
@@ -38,6 +38,7 @@
         long busyUntil;
         long coldSince = Rules.NEVER;
         double coldTokens;
+        double coldPlace;
         long coldAt;
         long heard;
         /** Attempts in order of sending; those begun or over are taken out when they are met. */
