--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -43,12 +43,12 @@
 public final class Main {
     /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
     private static final int OTHER_DESCRIPTORS = 64;
-    /** After SIGTERM: how long the registry may take to forget this router, how long new connections are
-     *  accepted, and until when connections are kept that clients have: another router may be down as well
-     *  (ms). */
+    /** After SIGTERM: how long the registry may take to forget this router, and how long new connections are
+     *  accepted: they come for 0.4 s, and a router that is held to its share sees them later (ms). Connections
+     *  that clients have are kept for half of the time until what is held is let go of, since another router
+     *  may be down as well: what comes on them last has the other half. */
     private static final long DEREGISTER_MS = 400;
     private static final long HAND_OVER_MS = 600;
-    private static final long KEEP_MS = 2_000;
     /** The process is killed no sooner than after the longest deadline, taken as so long where it is longer,
      *  and so much more; what is still held is let go of this long before: a stream that its client asks for
      *  again is read anew by an engine, so none is ended earlier than it must (ms). */
@@ -301,11 +301,15 @@
                     && fronts.stream().anyMatch(Clients::shared);
             log.log("stopping", "held", Integer.toString(module.held()), "succeeded",
                     Boolean.toString(succeeded));
+            long longest = site.get().settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max()
+                    .orElse(LONGEST_MS);
+            long letGo = Math.min(LONGEST_MS, longest) + KILLED_AFTER_MS - LAST_WORDS_MS;
+            long keep = Math.max(HAND_OVER_MS, letGo / 2);
             if (succeeded) {
                 // Another process takes what comes from now on; clients here move over little by little.
                 for (Clients c : fronts) {
                     c.stopAccepting();
-                    c.empty(Mailbox.Clock.SYSTEM.micros() + KEEP_MS * 1000);
+                    c.empty(Mailbox.Clock.SYSTEM.micros() + keep * 1000);
                 }
             }
             if (store != null) {
@@ -314,9 +318,6 @@
             if (announcer != null) {
                 announcer.stop(DEREGISTER_MS); // Before accepting ends: clients are to stop coming first.
             }
-            long longest = site.get().settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max()
-                    .orElse(LONGEST_MS);
-            long letGo = Math.min(LONGEST_MS, longest) + KILLED_AFTER_MS - LAST_WORDS_MS;
             boolean accepts = true;
             boolean keeps = !succeeded;
             boolean holds = true;
@@ -331,7 +332,7 @@
                         c.stopAccepting();
                     }
                 }
-                if (keeps && ms >= Math.min(KEEP_MS, letGo)) {
+                if (keeps && ms >= keep) {
                     keeps = false;
                     fronts.forEach(Clients::closeIdle);
                 }
--- a/src/main/java/magpiehub/store/ReplicatedStore.java
+++ b/src/main/java/magpiehub/store/ReplicatedStore.java
@@ -214,6 +214,7 @@
             try {
                 Socket s = server.accept();
                 accepted.add(s);
+                s.setTcpNoDelay(true);
                 Mailbox.thread("store-reader", () -> read(s)).start();
             } catch (IOException | OutOfMemoryError e) {
                 journal.count("store_link_failures");
