--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -44,9 +44,9 @@
     /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
     private static final int OTHER_DESCRIPTORS = 64;
     /** After SIGTERM: how long the registry may take to forget this router, and how long new connections are
-     *  accepted: they come for 0.4 s, and a router that is held to its share sees them later (ms). Connections
-     *  that clients have are kept for half of the time until what is held is let go of, since another router
-     *  may be down as well: what comes on them last has the other half. */
+     *  accepted: they come for 0.4 s, and a router held to its share sees them later (ms). Connections that
+     *  clients have are kept for half of the time until what is held is let go of, since another router may
+     *  be down as well: what comes on them last has the other half. */
     private static final long DEREGISTER_MS = 400;
     private static final long HAND_OVER_MS = 600;
     /** The process is killed no sooner than after the longest deadline, taken as so long where it is longer,
