Let tests that host modules share the actions that do nothing

Need: ColdFleetTest and WatchesTest spelled out the same empty methods. QuietActions holds them. The tests' assertions are as they were; both green.

--- a/src/test/java/magpiehub/core/ColdFleetTest.java
+++ b/src/test/java/magpiehub/core/ColdFleetTest.java
@@ -112,7 +112,7 @@
         }
     }
 
-    private static final class Router implements Contract.Actions {
+    private static final class Router extends QuietActions {
         final Fleet fleet;
         final int me;
         final Map<String, Request> open = new HashMap<>();
@@ -181,50 +181,6 @@
         public void timer(long at, long token) {
             timer = at;
         }
-
-        @Override
-        public void cancel(String id, int attempt) {
-        }
-
-        @Override
-        public void refuse(String id, long retryAfter) {
-        }
-
-        @Override
-        public void fail(String id) {
-        }
-
-        @Override
-        public void watch() {
-        }
-
-        @Override
-        public void probe(String server) {
-        }
-
-        @Override
-        public void move(String id) {
-        }
-
-        @Override
-        public void fetch() {
-        }
-
-        @Override
-        public void unwatch() {
-        }
-
-        @Override
-        public void close(String server) {
-        }
-
-        @Override
-        public void tell(int peer, byte[] payload) {
-        }
-
-        @Override
-        public void log(String text) {
-        }
     }
 
     /** What one server is promised to be able to do, as a part of a warm one. */
--- a/src/test/java/magpiehub/registry/WatchesTest.java
+++ b/src/test/java/magpiehub/registry/WatchesTest.java
@@ -16,6 +16,7 @@
 import magpiehub.core.Contract.Server;
 import magpiehub.core.Contract.Settings;
 import magpiehub.core.Contract.State;
+import magpiehub.core.QuietActions;
 import magpiehub.core.Rules;
 import org.junit.Test;
 
@@ -134,7 +135,7 @@
         }
     }
 
-    private static final class Router implements Watches.Host, Contract.Actions {
+    private static final class Router extends QuietActions implements Watches.Host {
         final Fleet fleet;
         final Rules rules;
         final Watches watches;
@@ -223,46 +224,6 @@
         public void send(String id, String server, long timeout) {
             sent.add(server);
         }
-
-        @Override
-        public void cancel(String id, int attempt) {
-        }
-
-        @Override
-        public void refuse(String id, long retryAfter) {
-        }
-
-        @Override
-        public void fail(String id) {
-        }
-
-        @Override
-        public void probe(String server) {
-        }
-
-        @Override
-        public void move(String id) {
-        }
-
-        @Override
-        public void fetch() {
-        }
-
-        @Override
-        public void unwatch() {
-        }
-
-        @Override
-        public void close(String server) {
-        }
-
-        @Override
-        public void tell(int peer, byte[] payload) {
-        }
-
-        @Override
-        public void log(String text) {
-        }
     }
 
     private static Fleet fleet(int routers, long each, long seed) throws Exception {
