Name discovery's patience once, and set a cold engine's clock once

Found reading the change again: Discovery and Watches each had the 5 s after which a call has failed, and Rules.startCold set coldAt twice. Behaviour is as it was.

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -890,7 +890,6 @@
     /** Rule 4: a replica that has just started gets a part of a warm one's traffic, by its capacity now. */
     private void startCold(Replica r, long since) {
         r.coldSince = since;
-        r.coldAt = now;
         // Where a node's part is under one request, nodes have places evenly spread.
         r.coldPlace = s.me() / (double) s.instances() + (mix(since ^ r.hash) >>> 11) * 0x1.0p-53;
         r.coldAt = NEVER;
--- a/src/main/java/magpiehub/registry/Discovery.java
+++ b/src/main/java/magpiehub/registry/Discovery.java
@@ -35,8 +35,6 @@
     private static final int MOST_VALUE = 4 << 20;
     /** Causes of unreadable lists that are logged, each once. */
     private static final int MOST_CAUSES = 32;
-    /** A call for the list alone that says nothing for so long has failed (us). */
-    private static final long PATIENCE = 5_000_000;
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final int MAILBOX_BYTES = 8 << 20;
 
@@ -250,7 +248,7 @@
         // One at a time: a second one would be another call in discovery's queue.
         closeFetch();
         fetch = new Call(false, watches.address());
-        fetch.until = now + PATIENCE;
+        fetch.until = now + Watches.PATIENCE;
         begin(fetch);
     }
 
--- a/src/main/java/magpiehub/registry/Watches.java
+++ b/src/main/java/magpiehub/registry/Watches.java
@@ -24,7 +24,7 @@
      *  lets calls wait. */
     private static final int MOST_ASKED = 2;
     /** A call that says nothing for so long has failed (us). */
-    private static final long PATIENCE = 5_000_000;
+    static final long PATIENCE = 5_000_000;
 
     /** One call. */
     static class Call {
