See by a test that of a burst of 300 clients that leave nobody is sent on

Need: the bound on clients that have gone holds under a burst of them. LeavingTest: 300 requests wait for the module, their clients reset, close or half close, and the first attempt that an engine gets is of the one who stays.

--- /dev/null
+++ b/src/test/java/magpiehub/LeavingTest.java
@@ -0,0 +1,38 @@
+package magpiehub;
+
+import org.junit.Test;
+
+/** Clients that all leave at once, more than a file of exchanges has lines for. */
+public class LeavingTest {
+    private static final int CLIENTS = 300;
+
+    /** Their requests wait for the module; no engine hears of one of them, and who stays is served. */
+    @Test
+    public void ofABurstOfClientsThatLeaveNobodyIsSentOn() throws Exception {
+        try (Player p = new Player()) {
+            p.step("most 400");
+            p.step("engines e1");
+            p.step("start");
+            p.step("hold");
+            for (int i = 0; i < CLIENTS; i++) {
+                p.step("c" + i + "? text " + i);
+            }
+            for (int i = 0; i < CLIENTS; i++) {
+                p.step("c" + i + (i % 3 == 0 ? "!!" : i % 3 == 1 ? "!" : "!-"));
+            }
+            p.step("counter clients_left " + CLIENTS);
+            p.step("release");
+            p.step("counter answered_abandoned " + CLIENTS);
+            p.step("stays? text");
+            p.step("e1+");
+            p.step("e1? text");
+            p.step("counter sent 1");
+            p.step("counter engine_connects 1");
+            p.step("e1> HTTP/1.1 200 OK");
+            p.step("e1> Transfer-Encoding: chunked");
+            p.step("e1> ");
+            p.step("e1>.");
+            p.step("stays= served at 0");
+        }
+    }
+}
