Let FullHouseTest use ServeTest's ways to speak and read, and drop empty methods

Found reading the whole change again: FullHouseTest wrote say and a reader of its own beside ServeTest's, RandomEventsTest spelled out four empty methods that QuietActions has. The assertions are as they were.

--- a/src/test/java/magpiehub/FullHouseTest.java
+++ b/src/test/java/magpiehub/FullHouseTest.java
@@ -6,12 +6,10 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -82,13 +80,10 @@
         t.start();
     }
 
-    private static void say(Socket s, String text) throws IOException {
-        s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-    }
-
     private static void ask(Socket s, String id) throws IOException {
-        say(s, "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: " + id + "\r\nX-Call-Class: chat\r\n"
-                + "X-Budget-Ms: 20000\r\nContent-Length: " + CONTENT.length() + "\r\n\r\n" + CONTENT);
+        ServeTest.say(s, "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: " + id
+                + "\r\nX-Call-Class: chat\r\nX-Budget-Ms: 20000\r\nContent-Length: " + CONTENT.length()
+                + "\r\n\r\n" + CONTENT);
     }
 
     /** An engine that answers each request at once. */
@@ -110,11 +105,11 @@
     }
 
     private static void answer(Socket s) {
-        try (s; BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream()))) {
+        try (s; BufferedReader in = ServeTest.reader(s)) {
             for (String l = in.readLine(); l != null; l = in.readLine()) {
                 if (l.isEmpty()) {
                     in.read(new char[CONTENT.length()]);
-                    say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    ServeTest.say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                             + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n");
                 }
             }
@@ -124,8 +119,7 @@
     }
 
     private static String answered(Socket s) throws IOException {
-        s.setSoTimeout(30_000);
-        return new BufferedReader(new InputStreamReader(s.getInputStream())).readLine();
+        return ServeTest.reader(s).readLine();
     }
 
     private void idleClientsFill(int sockets) throws Exception {
@@ -151,9 +145,9 @@
                     try {
                         s.connect(new InetSocketAddress(HERE, port), 20);
                         if (i % 3 == 0) {
-                            say(s, "GET /up HTTP/1.1\r\n\r\n");
+                            ServeTest.say(s, "GET /up HTTP/1.1\r\n\r\n");
                         } else if (i % 3 == 1) {
-                            say(s, "GET /up HT");
+                            ServeTest.say(s, "GET /up HT");
                         }
                     } catch (IOException e) {
                         // No more are let in, or it was closed to make room.
@@ -165,9 +159,8 @@
                 try (ServerSocket again = new ServerSocket(at, 8, HERE)) {
                     again.setSoTimeout(6_000);
                     try (Socket w = again.accept()) {
-                        BufferedReader call = new BufferedReader(new InputStreamReader(w.getInputStream()));
-                        assertTrue(ServeTest.until(call, "GET ").contains("follow=1"));
-                        say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+                        assertTrue(ServeTest.until(ServeTest.reader(w), "GET ").contains("follow=1"));
+                        ServeTest.say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
                         assertTrue("in time", System.nanoTime() - back < 6_000_000_000L);
                         // An engine's connection is to be had as well, and one who comes again after being
                         // refused is let in: room is made from those who have rested for 2 s.
@@ -226,7 +219,7 @@
                     // Clients knock already.
                     try (Socket early = new Socket(HERE, port); Socket s = new Socket(HERE, port)) {
                         ask(early, "early" + i);
-                        say(s, "GET /up HTTP/1.1\r\n\r\n");
+                        ServeTest.say(s, "GET /up HTTP/1.1\r\n\r\n");
                         up = answered(s);
                     }
                     Thread.sleep(20);
@@ -256,13 +249,14 @@
                     Socket s = d.accept();
                     open.add(s);
                     if (how == Fails.SAYS_503) {
-                        say(s, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                        ServeTest.say(s, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
                     } else if (how == Fails.CUTS) {
-                        say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{\"revision\":3,");
+                        ServeTest.say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + "20\r\n{\"revision\":3,");
                         s.close();
                     } else if (how == Fails.SLOW) {
                         Thread.sleep(3_000);
-                        say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        ServeTest.say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                                 + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
                     }
                 } catch (IOException | InterruptedException e) {
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -30,7 +30,7 @@
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
 
-    private static BufferedReader reader(Socket s) throws IOException {
+    static BufferedReader reader(Socket s) throws IOException {
         s.setSoTimeout(30_000);
         return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8));
     }
@@ -47,7 +47,7 @@
         throw new AssertionError("no line has " + part + ": " + seen);
     }
 
-    private static void say(Socket s, String text) throws IOException {
+    static void say(Socket s, String text) throws IOException {
         s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
--- a/src/test/java/magpiehub/core/RandomEventsTest.java
+++ b/src/test/java/magpiehub/core/RandomEventsTest.java
@@ -28,7 +28,7 @@
     private static final long S = Bench.S;
 
     /** A world that checks what one node does. */
-    private static final class World implements Contract.Actions {
+    private static final class World extends QuietActions {
         private static final class Job {
             Request r;
             RequestClass c;
@@ -156,27 +156,11 @@
             throw new AssertionError("not allowed here");
         }
 
-        @Override
-        public void fetch() {
-        }
-
-        @Override
-        public void unwatch() {
-        }
-
-        @Override
-        public void close(String server) {
-        }
-
         @Override
         public void tell(int peer, byte[] payload) {
             throw new AssertionError("not allowed here");
         }
 
-        @Override
-        public void log(String text) {
-        }
-
         private void list() {
             List<Server> l = new ArrayList<>();
             ListKind kind = ListKind.values()[rnd.nextInt(4)];
