Count a stream's silence from the end of its reader's wait, not from before it

Cause: an engine's reader that waits for a slow client marks the stream as waiting, but Streams.came took the mark back at each look and once more between the end of the wait and the engine's event. The engine's actor that asked silentUntil in such a moment counted silence from the last event before the pause and cut the stream as stalled (Streams.java, came and silentUntil).

The mark has no gap now, and silence counts from the end of the wait at the earliest.

--- a/src/main/java/magpiehub/stream/Streams.java
+++ b/src/main/java/magpiehub/stream/Streams.java
@@ -40,6 +40,8 @@
         private volatile long lastEventAt;
         /** Its engine's reader waits for room: the engine is not silent, it is not listened to. */
         private volatile boolean waits;
+        /** When that wait last ended (us): what the engine sent meanwhile is only read from then on. */
+        private volatile long waitedUntil;
 
         private Flow(int cls, int tenant, String id, Reader reader) {
             this.cls = cls;
@@ -184,15 +186,8 @@
     public void came(Flow f, int bytes) throws InterruptedException {
         Flow worst = null;
         synchronized (lock) {
-            while (!budget.room(f.account)) {
-                waiting++;
-                f.waits = true;
-                try {
-                    clock.await(lock, clock.micros() + LOOK_AGAIN);
-                } finally {
-                    waiting--;
-                    f.waits = false;
-                }
+            if (!budget.room(f.account)) {
+                awaitRoom(f);
             }
             long now = clock.micros();
             budget.came(f.account, bytes, now);
@@ -210,6 +205,22 @@
         }
     }
 
+    /** Under the lock. The flow is marked as waiting without a gap from the first look to the last: whoever
+     *  asks in between would take an engine that is not listened to for a silent one. */
+    private void awaitRoom(Flow f) throws InterruptedException {
+        waiting++;
+        f.waits = true;
+        try {
+            while (!budget.room(f.account)) {
+                clock.await(lock, clock.micros() + LOOK_AGAIN);
+            }
+        } finally {
+            waiting--;
+            f.waitedUntil = clock.micros();
+            f.waits = false;
+        }
+    }
+
     /** Bytes that had come are let go of: their attempt is not the client's. */
     public void dropped(Flow f, long bytes) {
         if (bytes > 0) {
@@ -254,7 +265,9 @@
             }
         }
         Allowances.PerClass own = of(f.cls);
-        return Math.min(heardAt + (resume ? limit : Math.max(limit, own.hold())), eventAt + own.comments());
+        long silence = resume ? limit : Math.max(limit, own.hold());
+        return Math.min(Math.max(heardAt, f.waitedUntil) + silence,
+                Math.max(eventAt, f.waitedUntil) + own.comments());
     }
 
     /** The engine is no longer listed. */
