Read names in headers as UTF-8, and start whatever the first class is called

A head is read as one character a byte (Http.Input.line), names in the settings are Unicode, so no such class or tenant was ever found: requests of the class got 400, a tenant counted as none. A start ended by it, since PlatformFront.warm reads a made-up request of the first class and its 400 went up through Main.serve. Ruled out: the log and the JSON parser take such names.

Class and tenant headers are read as UTF-8 where they are that, and stay as they are otherwise; a class that no header can name (a control character, blanks at its ends) no longer ends a start.

--- a/src/main/java/magpiehub/front/MessagesFront.java
+++ b/src/main/java/magpiehub/front/MessagesFront.java
@@ -117,10 +117,10 @@
         if (body.length > Http.MOST_BODY) {
             throw new Http.Bad(413, "body too large");
         }
-        String cls = head.get("X-Call-Class");
+        String cls = PlatformFront.name(head.get("X-Call-Class"));
         Config.Site now = site.get();
         int c = PlatformFront.cls(now, cls != null ? cls : classOf(model));
-        String tenant = head.get("X-Caller");
+        String tenant = PlatformFront.name(head.get("X-Caller"));
         String id = head.get("X-Call-Id");
         String route = head.get("X-Route-Hash");
         String budget = head.get("X-Budget-Ms");
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Supplier;
 import magpiehub.config.Config;
@@ -61,8 +63,13 @@
         for (int i = 0; i < WARM_ROUNDS; i++) {
             Http.Input in = new Http.Input(new ByteArrayInputStream(request), () -> 0);
             in.await();
-            Http.Head head = in.head(true);
-            Call c = read(head, in.body(head), 0);
+            Call c;
+            try {
+                Http.Head head = in.head(true);
+                c = read(head, in.body(head), 0);
+            } catch (Http.Bad e) {
+                return; // A class that no header can name, which no client can ask for either.
+            }
             Http.Input from = new Http.Input(new ByteArrayInputStream(answer), () -> 0);
             from.await();
             c.begin(out, false);
@@ -80,7 +87,7 @@
     static Request request(Config.Site site, Http.Head head, long at) throws Http.Bad {
         String id = id(need(head, "X-Call-Id"));
         long budget = budget(need(head, "X-Budget-Ms"));
-        String tenant = head.only("X-Caller");
+        String tenant = name(head.only("X-Caller"));
         String route = head.only("X-Route-Hash");
         long prefix = 0;
         double[] lengths = new double[3];
@@ -102,7 +109,7 @@
             }
         }
         String again = head.get("X-Again");
-        return new Request(id, cls(site, need(head, "X-Call-Class")), tenant == null ? -1
+        return new Request(id, cls(site, name(need(head, "X-Call-Class"))), tenant == null ? -1
                 : site.tenant(tenant),
                 route == null ? 0 : whole(route, 16, "X-Route-Hash"), prefix, at + budget,
                 cost(head.get("X-Call-Cost")),
@@ -130,6 +137,20 @@
         }
         return id;
     }
+    /** A header's value as the settings spell names: heads are read as bytes, one character each, and names in
+     *  them are UTF-8. What is not UTF-8 stays as it was read, and null stays null. */
+    static String name(String value) {
+        if (value == null || value.chars().allMatch(c -> c < 0x80)) {
+            return value;
+        }
+        try {
+            return StandardCharsets.UTF_8.newDecoder()
+                    .decode(ByteBuffer.wrap(value.getBytes(StandardCharsets.ISO_8859_1))).toString();
+        } catch (CharacterCodingException e) {
+            return value;
+        }
+    }
+
 
     /** How long the client waits (us). */
     static long budget(String ms) throws Http.Bad {
