Say at a start that SIGHUP is ignored and no reload will come

After SIGHUP the logs had neither "reloaded" nor "reload-failed", and the routers asked the old address of discovery to the end. The JVM leaves a signal ignored that was ignored when it started (Signal.handle answers SIG_IGN), and a program can't change it from inside.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -74,14 +74,17 @@
         // Guards against the JVM's own answer to SIGHUP, which is to end: taken before anything else, read by
         // an actor once there is something to reload.
         Mailbox<Object> hangups = new Mailbox<>(Mailbox.Clock.SYSTEM, 1);
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> hangups.post(s));
+        sun.misc.SignalHandler before = sun.misc.Signal.handle(new sun.misc.Signal("HUP"),
+                s -> hangups.post(s));
+        // A process that inherits an ignored SIGHUP, as from nohup, never gets one: the JVM leaves it so.
+        boolean hangupsIgnored = before == sun.misc.SignalHandler.SIG_IGN;
         if (args.length == 1 && args[0].equals("adapter")) {
             WarmUp.run(WarmUp.MANY);
             System.exit(new Drill(System.in, System.out, System.err).run());
         } else if (args.length == 1 && (args[0].equals("serve") || args[0].equals("rehearse"))) {
             try {
                 boolean serves = args[0].equals("serve");
-                serve(Config.router(serves ? System.getenv() : Rehearsal.begin()), hangups);
+                serve(Config.router(serves ? System.getenv() : Rehearsal.begin()), hangups, hangupsIgnored);
             } catch (IOException | RuntimeException e) {
                 // One line for whoever starts it: what is wrong, or at least what failed.
                 System.err.println("magpiehub: " + (e instanceof Config.Malformed ? e.getMessage() : e));
@@ -93,9 +96,13 @@
         }
     }
 
-    private static void serve(Config.Router r, Mailbox<Object> hangups) throws IOException {
+    private static void serve(Config.Router r, Mailbox<Object> hangups, boolean hangupsIgnored)
+            throws IOException {
         Log log = new Log(System.err, r.name(), ProcessHandle.current().pid());
         log.start();
+        if (hangupsIgnored) {
+            log.log("reload-impossible", "reason", "SIGHUP was ignored when the process started");
+        }
         Mailbox.Clock clock = Mailbox.Clock.SYSTEM;
         // Requests in hand take at most a third of the descriptors on each side; clients that stay need more.
         int forEngines = Math.max(8, r.sockets() * 3 / 8);
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -176,6 +176,27 @@
         }
     }
 
+    /** As from nohup: nobody can send it new settings, and whoever looks after it is to know. */
+    @Test
+    public void aStartThatIgnoresHangupsSaysSo() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
+                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
+            Path config = folder.newFile().toPath();
+            write(config, discovery, engine);
+            List<String> ignoring = new ArrayList<>(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+            ignoring.addAll(SERVE);
+            Process p = start(config, discovery, ignoring);
+            try (BufferedReader log = p.inputReader()) {
+                until(log, " reload-impossible ");
+                hangUp(p);
+                until(log, " started ");
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
     /** The first class is what a start rehearses with: no name of one may end it. */
     @Test
     public void aSiteWhoseNamesAreNotAsciiStarts() throws Exception {
