Refuse what comes after the last word of a shutdown, and refuse all that may be

Read in the code: 3.4 s after SIGTERM ModuleActor.letGo ended what was held, once; a request that was half read at SIGTERM and came whole after that was placed like any other and lost at SIGKILL 0.3 s later. And only harmless classes were refused there: requests whose repeats all engines drop, and those that had never been sent, were failed, so that their clients did not come again.

The module's actor stays shut from then on and refuses; Rules.mayRefuse, which decides it for every other refusal, decides it here too. Two tests of ModuleActorTest, one over all effects and groups, fail without it. letGo is shutDown now.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -345,7 +345,7 @@
                 }
                 if (holds && ms >= letGo) {
                     holds = false;
-                    module.letGo(site.get().settings().resume());
+                    module.shutDown(site.get().settings().resume());
                 }
                 if (!holds) {
                     fronts.forEach(c -> c.letGoStuck(STUCK));
--- a/src/main/java/magpiehub/core/ModuleActor.java
+++ b/src/main/java/magpiehub/core/ModuleActor.java
@@ -164,6 +164,8 @@
     private long now;
     private volatile int held;
     private boolean watching;
+    /** Set once by {@link #shutDown}: no request is placed from then on. */
+    private boolean shuttingDown;
 
     /** An actor over ports; it does nothing until {@link #turn} or {@link #run} is called. */
     public ModuleActor(Settings settings, long seed, Mailbox.Clock clock, Fleet fleet, Roster roster,
@@ -297,21 +299,14 @@
         mailbox.post(what);
     }
 
-    /** The last that this process can do for what it holds: running streams are ended in order, where
-     *  {@code resume} says that clients ask for the rest, and what has not begun gets its answer. */
-    public void letGo(boolean resume) {
+    /** The process is about to be killed: running streams are ended in order, where {@code resume} says that
+     *  clients ask for the rest, and each request that has not begun, or comes later, is answered at once. */
+    public void shutDown(boolean resume) {
         mailbox.post(() -> {
+            shuttingDown = true;
             for (Open o : List.copyOf(requests.values())) {
                 if (o.begun == null) {
-                    boolean pure = settings.classes().get(o.request.cls()).effect() == Contract.Effect.PURE;
-                    o.attempts.forEach(this::stop);
-                    Client client = answer(o, pure ? "refused" : "failed");
-                    if (pure) {
-                        client.refuse(comeBack);
-                    } else {
-                        client.fail("stopping");
-                    }
-                    rules.abandoned(now, o.request.id());
+                    answerUnstarted(o);
                 } else if (resume) {
                     new Decisions().move(o.request.id());
                 }
@@ -319,6 +314,19 @@
         });
     }
 
+    /** The final answer of a request that no engine's answer is waited for any longer. */
+    private void answerUnstarted(Open o) {
+        boolean harmless = rules.mayRefuse(o.request.id());
+        o.attempts.forEach(this::stop);
+        Client client = answer(o, harmless ? "refused" : "failed");
+        if (harmless) {
+            client.refuse(comeBack);
+        } else {
+            client.fail("stopping");
+        }
+        rules.abandoned(now, o.request.id());
+    }
+
     // ---- Events ---------------------------------------------------------------------------------------
     private void taken(Request r, Client client, Object work) {
         if (client.gone()) {
@@ -333,7 +341,8 @@
             client.fail("id in use");
             return;
         }
-        if (requests.size() >= mostHeld) {
+        if (requests.size() >= mostHeld || shuttingDown) {
+            // What is placed this late would be lost with the process.
             journal.count("answered_refused");
             client.refuse(comeBack);
             return;
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -642,6 +642,9 @@
                 || c.group() == Group.CELL && to.entry.cell() == was.cell();
     }
 
+    /** Whether a request may be answered as refused now, whatever became of its attempts. */
+    boolean mayRefuse(String id) { return !held.containsKey(id) || mayRefuse(held.get(id)); }
+
     private boolean mayRefuse(Held h) {
         if (h.r.cls() < 0 || h.r.cls() >= s.classes().size() || h.open == 0 && h.mayHaveRun == null) {
             return true;
--- a/src/test/java/magpiehub/core/ModuleActorTest.java
+++ b/src/test/java/magpiehub/core/ModuleActorTest.java
@@ -101,8 +101,11 @@
         public void log(String what, String... namesAndValues) {
         }
     };
-    private final ModuleActor actor = new ModuleActor(Bench.settings(1), 7, () -> now, fleet, roster,
-            journal);
+    private ModuleActor actor = actor(Bench.settings(1));
+
+    private ModuleActor actor(Contract.Settings settings) {
+        return new ModuleActor(settings, 7, () -> now, fleet, roster, journal);
+    }
 
     private void turns() throws InterruptedException {
         for (int i = 0; i < 8; i++) {
@@ -222,6 +225,33 @@
         assertEquals(List.of("start a"), done);
     }
 
+    /** A request that was half read at SIGTERM may come whole only then; the process is killed soon after. */
+    @Test
+    public void aRequestThatComesAfterTheShutdownIsRefusedAndNotSent() throws InterruptedException {
+        actor.shutDown(true);
+        ask("a");
+        assertEquals(List.of("refuse at 1000000"), done);
+        assertEquals(0, actor.held());
+    }
+
+    /** Effects at the shutdown: what may have run is not called refused, what can't have run is. */
+    @Test
+    public void atTheShutdownOnlyWhatMayBeRepeatedIsRefused() throws InterruptedException {
+        for (Contract.Effect effect : Contract.Effect.values()) {
+            for (Contract.Group group : Contract.Group.values()) {
+                done.clear();
+                actor = actor(Bench.settings(1, Bench.cls(effect, group)));
+                ask("a");
+                actor.shutDown(false);
+                turns();
+                boolean harmless = effect == Contract.Effect.PURE
+                        || effect == Contract.Effect.TOKEN && group == Contract.Group.ALL;
+                assertEquals(effect + " " + group, List.of("start a", "abort a",
+                        (harmless ? "refuse" : "fail") + " at 1000000"), done);
+            }
+        }
+    }
+
     @Test
     public void aBegunStreamHasNoDeadlineAndAMoveEndsIt() throws InterruptedException {
         ask("a");
@@ -229,7 +259,7 @@
         turns();
         now += 60_000_000;
         turns();
-        actor.letGo(true);
+        actor.shutDown(true);
         turns();
         assertEquals(List.of("start a", "grant a", "abort a", "move"), done);
     }
