Let a request keep the limits that it came under over a reload

Read in the code: classes and tenants keep their places over reloads, so a request's class, deadline, effect and window are its own; but Rules read attempts, cancels and attempts in parallel from the settings of the moment, and a reload lent a request under way more attempts than its own settings allowed.

Held takes the limits with the request; fewer attempts still bind what is under way, as before. RulesTest fails without it.

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -343,7 +343,7 @@
     public void request(long time, Request r) {
         at(time);
         if (held.containsKey(r.id())) { return; }
-        Held h = new Held(r, now);
+        Held h = new Held(r, s.limits(), now);
         held.put(r.id(), h);
         seen = seen * Math.exp((seenAt - now) / SHARE_TAU) + 1;
         seenAt = now;
@@ -545,7 +545,7 @@
     }
 
     private void cancelOthers(Held h) {
-        for (int i = 0; i < h.attempts.size() && s.limits().cancel(); i++) {
+        for (int i = 0; i < h.attempts.size() && h.limits.cancel(); i++) {
             Attempt a = h.attempts.get(i);
             if (!a.done && !a.begun) { out.cancel(h.r.id(), i); }
         }
@@ -606,7 +606,7 @@
     private boolean mayRetry(Held h, Attempt a, Outcome o, long took) {
         if (h.streaming || o == Outcome.MOOT || o == Outcome.CANCELLED && !a.givenUp
                 || h.r.deadline() - now < SWEEP
-                || h.attempts.size() >= Math.min(MOST_TRIES, s.limits().mostAttempts())) {
+                || h.attempts.size() >= Math.min(MOST_TRIES, h.mostAttempts(s.limits()))) {
             return false;
         }
         RequestClass c = s.classes().get(h.r.cls());
@@ -629,7 +629,7 @@
     /** Rule 2: what an earlier attempt did, or may still do, decides where another may go. */
     private boolean maySend(Held h, Replica to) {
         RequestClass c = s.classes().get(h.r.cls());
-        if (h.open > 0 && !s.limits().parallel()) { return false; }
+        if (h.open > 0 && !h.limits.parallel()) { return false; }
         if (c.effect() == Effect.PURE) { return true; }
         Attempt first = h.mayHaveRun;
         for (Attempt a : h.attempts) {
--- a/src/main/java/magpiehub/core/State.java
+++ b/src/main/java/magpiehub/core/State.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import magpiehub.core.Contract.Limits;
 import magpiehub.core.Contract.Request;
 import magpiehub.core.Contract.Server;
 
@@ -237,6 +238,8 @@
     static final class Held {
         final Request r;
         final long arrived;
+        /** Those in force when it came: a reload changes nothing for a request under way. */
+        final Limits limits;
         final List<Attempt> attempts = new ArrayList<>(2);
         Mapping mapping;
         boolean fallback;
@@ -246,13 +249,19 @@
         /** The first attempt that may have run, or null. */
         Attempt mayHaveRun;
 
+        /** Fewer attempts bind a request under way too, more do not. */
+        int mostAttempts(Limits inForce) {
+            return Math.min(limits.mostAttempts(), inForce.mostAttempts());
+        }
+
         /** Length of its key's deque, at least one. */
         int width() {
             return mapping == null ? 1 : Math.max(1, mapping.size);
         }
 
-        Held(Request r, long arrived) {
+        Held(Request r, Limits limits, long arrived) {
             this.r = r;
+            this.limits = limits;
             this.arrived = arrived;
         }
     }
--- a/src/test/java/magpiehub/core/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -82,6 +82,28 @@
         b.pass(S);
     }
 
+    /** More attempts, and attempts in parallel, are for requests that come after the reload. */
+    @Test
+    void aRequestKeepsTheLimitsThatItCameUnder() {
+        Contract.Settings wide = Bench.settings(1, true, false, List.of());
+        Contract.Limits l = wide.limits();
+        Contract.Limits narrow = new Contract.Limits(l.cancel(), l.probes(), l.peers(), false, l.retryAfter(),
+                2, l.mostHeld(), l.maxRetryAfter(), l.connectTimeout());
+        Bench b = new Bench(new Contract.Settings(wide.me(), wide.instances(), wide.myZone(), wide.zones(),
+                wide.subscribe(), wide.resume(), wide.weights(), wide.overShareWorth(), wide.classes(),
+                wide.tenants(), narrow, wide.guarantees(), wide.costs())).list(names(8));
+        String under = b.ask(0, 0);
+        b.node.settings(b.now, wide);
+        b.outcome(under, Outcome.RESET);
+        b.outcome(under, Outcome.RESET);
+        assertEquals(2, b.tries.get(under));
+        assertEquals("refused", b.finals.get(under));
+        String fresh = b.ask(0, 0);
+        b.outcome(fresh, Outcome.RESET);
+        b.outcome(fresh, Outcome.RESET);
+        assertEquals(3, b.tries.get(fresh), "the new limit holds for what comes now");
+    }
+
     @Test
     void prefixAndSessionIdsAreApart() {
         Bench b = new Bench(Bench.settings(1)).list(names(16));
