Take an attempt that a drain stops for no sign of a lost zone

Read in the code: an attempt whose replica begins to drain before its first byte ends as not connected (Engines.takes), and Rules.judge told that to the zones although the list had the reason: three such attempts at replicas of one zone, and the zone was passed over for a second.

What is told of a replica that takes no work says nothing of its zone now; ZonesTest fails without it.

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -737,7 +737,7 @@
                 broken(r, 1);
             }
             case SPOILT -> broken(r, SPOILT_COUNTS);
-            case CONNECT_FAILED -> unreachable(r, took);
+            case CONNECT_FAILED -> { if (r.ready) { unreachable(r, took); } }
             case TIMEOUT -> {
                 bad++;
                 told(r, Sign.SILENCE, took, 1);
--- a/src/test/java/magpiehub/core/ZonesTest.java
+++ b/src/test/java/magpiehub/core/ZonesTest.java
@@ -121,6 +121,18 @@
         assertNull(b.finals.get(id));
     }
 
+    /** An attempt that is stopped before its first byte since its replica drains tells nothing of the zone. */
+    @Test
+    public void aReplicaThatDrainsUnderAnAttemptIsNoSignOfALostZone() {
+        String id = there();
+        String at = b.where(id);
+        zones.told.clear();
+        b.node.list(b.now, ListKind.CHANGES, List.of(new Server(at, 1, 0, 0, State.DRAINING, 1, 0)));
+        b.outcome(id, Outcome.CONNECT_FAILED);
+        assertEquals("only that it is another one now", List.of(at + " fresh"), zones.told);
+        assertNotEquals("the request goes elsewhere", at, b.where(id));
+    }
+
     @Test
     public void whatTheHostCancelledByItselfIsNotTriedAgain() {
         String id = there();
