Shut our half first where an idle connection makes room for others

Read in the code: Clients.leave closed an idle connection at once, also over bytes that its client had just sent, which resets the connection; every other close of an idle one shuts its own half, reads on for a moment and then closes.

It goes the same way now. The exchange room-closes writes across the close and fails without it ("Connection reset").

--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -806,11 +806,19 @@
          *  client has never sent a whole one. */
         private void leave() {
             leaving = false;
-            if (current != null || !ahead.isEmpty() || lingering || asked && reading) {
+            if (current != null || !ahead.isEmpty() || lingering) {
                 return;
             }
-            journal.count(asked ? "clients_idle_closed" : "clients_silent_closed");
-            ended = true;
+            if (!asked) {
+                journal.count("clients_silent_closed");
+                ended = true;
+                return;
+            }
+            // A close over bytes that nobody has read would reset the connection.
+            closeIfIdle();
+            if (lingering) {
+                journal.count("clients_idle_closed");
+            }
         }
 
         /** Says something that a reader that has gone answers with a reset. */
--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -312,6 +312,7 @@
                 p.line();
                 assertEquals(Integer.parseInt(rest), got);
             }
+            case "<fin" -> assertEquals("the connection should have ended in order", -1, p.read());
             case "<eof" -> assertTrue("the connection should have ended", p.ended());
             case "!" -> p.socket.close();
             case "-" -> p.server.close();
