Pass on to engines what clients say of their requests, the idempotency key above all

Engines.request wrote a head of its own and left out whatever else the client had said. Ruled out: body, target and id, which pass unchanged.

A head's end-to-end lines now go on as they came (RFC 9110, 7.6.1: not those of the connection, nor what the router reads or says anew); the messages dialect passes on the key alone.

--- a/src/main/java/magpiehub/front/MessagesFront.java
+++ b/src/main/java/magpiehub/front/MessagesFront.java
@@ -27,6 +27,8 @@
  */
 public final class MessagesFront implements Front {
     private static final String PATH = "/v1/messages";
+    /** The one header of this dialect that means the same to engines, in lower case. */
+    private static final String IDEMPOTENCY_KEY = "idempotency-key";
     /** As everywhere on the platform. */
     private static final int CHARACTERS_A_TOKEN = 4;
     /** Session and prefix ids stay below what the simulator's wire can carry. */
@@ -133,7 +135,8 @@
                 now.tenant(tenant != null ? tenant : options.tenant), session,
                 system.isEmpty() ? 0 : hash(system), at + wait, 0, characters / CHARACTERS_A_TOKEN,
                 system.length() / CHARACTERS_A_TOKEN, most, false, false, false);
-        return new Translated(r, body, model, f.flag("stream", false));
+        return new Translated(r, head.endToEnd(IDEMPOTENCY_KEY::equals), body, model,
+                f.flag("stream", false));
     }
 
     /** The class of a model's requests: what the store says, else the file, else the file's own default. */
@@ -210,8 +213,8 @@
         private long kept;
         private long made;
 
-        Translated(Request request, byte[] body, String model, boolean stream) {
-            super(request, PlatformFront.PATH, body);
+        Translated(Request request, byte[] headers, byte[] body, String model, boolean stream) {
+            super(request, PlatformFront.PATH, headers, body);
             this.model = model;
             this.stream = stream;
         }
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.function.Supplier;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.Request;
@@ -19,6 +20,10 @@
  * are. It owns the header names. It must never change a byte of an event or of what engines are sent.
  */
 public final class PlatformFront implements Front {
+    /** What the router itself reads or says anew; engines get everything else that a client says of its
+     *  request, such as the key by which they drop repeats. In lower case. */
+    private static final Set<String> OWN_HEADERS = Set.of("content-type", "x-call-id", "x-call-class",
+            "x-caller", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost", "x-again");
     static final String PATH = "/v1/chat/completions";
     private static final int WARM_ROUNDS = 60;
     private final Supplier<Config.Site> site;
@@ -31,7 +36,8 @@
     public Call read(Http.Head head, byte[] body, long at) throws Http.Bad {
         String target = posted(head, PATH);
         checkJson(body);
-        return new Passed(request(site.get(), head, at), target, body);
+        return new Passed(request(site.get(), head, at), target,
+                head.endToEnd(name -> !OWN_HEADERS.contains(name)), body);
     }
 
     /** The target of a request that a front takes: a POST to its path, with a query or without. */
@@ -131,12 +137,6 @@
         return c;
     }
 
-    static String id(String id) throws Http.Bad {
-        if (id.isEmpty() || id.length() > 64 || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
-            throw new Http.Bad(400, "malformed X-Call-Id");
-        }
-        return id;
-    }
     /** A header's value as the settings spell names: heads are read as bytes, one character each, and names in
      *  them are UTF-8. What is not UTF-8 stays as it was read, and null stays null. */
     static String name(String value) {
@@ -151,6 +151,12 @@
         }
     }
 
+    static String id(String id) throws Http.Bad {
+        if (id.isEmpty() || id.length() > 64 || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+            throw new Http.Bad(400, "malformed X-Call-Id");
+        }
+        return id;
+    }
 
     /** How long the client waits (us). */
     static long budget(String ms) throws Http.Bad {
@@ -210,8 +216,8 @@
     }
 
     private final class Passed extends Call {
-        Passed(Request request, String target, byte[] body) {
-            super(request, target, body);
+        Passed(Request request, String target, byte[] headers, byte[] body) {
+            super(request, target, headers, body);
         }
 
         @Override
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -560,8 +560,8 @@
             long left = Math.max(1, (a.until - clock.micros()) / 1000);
             return new Http.Output().text("POST " + call.target + " HTTP/1.1\r\nHost: " + connectedTo
                     + "\r\nContent-Type: application/json\r\nContent-Length: " + call.body.length
-                    + "\r\nX-Call-Id: " + call.request.id() + "\r\nX-Budget-Ms: " + left + "\r\n\r\n")
-                    .bytes(call.body).take();
+                    + "\r\nX-Call-Id: " + call.request.id() + "\r\nX-Budget-Ms: " + left + "\r\n")
+                    .bytes(call.headers).text("\r\n").bytes(call.body).take();
         }
 
         private void answered(Answered a) {
--- a/src/main/java/magpiehub/net/Front.java
+++ b/src/main/java/magpiehub/net/Front.java
@@ -27,15 +27,17 @@
     abstract class Call {
         /** The request in the module's terms. */
         public final Request request;
-        /** What engines are sent: the target, and the body. */
+        /** What engines are sent: the target, header lines of the client's own, and the body. */
         public final String target;
+        public final byte[] headers;
         public final byte[] body;
         /** The stream that gets the events; set by the connection that took the request. */
         private volatile Sink sink;
 
-        protected Call(Request request, String target, byte[] body) {
+        protected Call(Request request, String target, byte[] headers, byte[] body) {
             this.request = request;
             this.target = target;
+            this.headers = headers;
             this.body = body;
         }
 
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -6,6 +6,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * HTTP/1.1 as bytes: reading heads, bodies and the events of a stream from one buffer a connection, and
@@ -20,6 +23,10 @@
     private static final int MOST_HEADERS = 100;
     private static final int MOST_CHUNK_LINE = 256;
     private static final int MOST_CHUNK = 4 * MOST_BODY;
+    /** Headers that speak of one connection or one message's framing (RFC 9110, 7.6.1), and of its receiver. */
+    private static final Set<String> HOP_BY_HOP = Set.of("connection", "content-length", "expect", "host",
+            "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
+            "transfer-encoding", "upgrade");
 
     private Http() {
     }
@@ -86,6 +93,19 @@
             return (int) names.stream().filter(name::equalsIgnoreCase).count();
         }
 
+        /** The header lines, as they came, that a proxy passes on: those of these names that are not the
+         *  connection's own. Names are asked for in lower case. */
+        public byte[] endToEnd(Predicate<String> passes) {
+            StringBuilder lines = new StringBuilder();
+            for (int i = 0; i < names.size(); i++) {
+                String name = names.get(i).toLowerCase(Locale.ROOT);
+                if (!HOP_BY_HOP.contains(name) && !has("Connection", name) && passes.test(name)) {
+                    lines.append(names.get(i)).append(": ").append(values.get(i)).append("\r\n");
+                }
+            }
+            return lines.toString().getBytes(StandardCharsets.ISO_8859_1);
+        }
+
         /** Whether the sender closes after this message. */
         public boolean closes() {
             String version = start[0].startsWith("HTTP/") ? start[0] : start[2];
