Give reload and shutdown classes of their own, the shutdown's phases with a test

Main wired the parts, read new settings on SIGHUP and ended the process. SettingsReload and GracefulShutdown do the latter two now, with the same steps in the same order; the phases follow from the configured deadlines as before and are a value that a test looks at.

--- /dev/null
+++ b/src/main/java/magpiehub/GracefulShutdown.java
@@ -0,0 +1,153 @@
+package magpiehub;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Supplier;
+import magpiehub.config.Config;
+import magpiehub.core.Contract.RequestClass;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+import magpiehub.net.Clients;
+import magpiehub.ops.Log;
+import magpiehub.ops.Operators;
+import magpiehub.registry.Announcer;
+import magpiehub.store.Store;
+
+/**
+ * Ends the process in order once it is told to: new connections are accepted for a moment, then the ones that
+ * clients have are served on, then only what is held, and before the process is killed each request gets its
+ * final answer. Runs as the JVM's shutdown hook, on the thread that the JVM gives it, and returns once no
+ * connection is open.
+ */
+final class GracefulShutdown implements Runnable {
+    /** How long the registry may take to forget this router (ms). */
+    private static final long DEREGISTER_MS = 400;
+    /** How often the phases are looked at (ms). */
+    private static final long TICK_MS = 5;
+    /** In the last phase, clients that have taken nothing for so long are let go of (us). */
+    private static final long STUCK = 1_000_000;
+
+    /**
+     * When each phase ends, counted from the signal (ms).
+     *
+     * @param accept new connections are accepted until then
+     * @param keep idle connections are kept until then; later each answer is its connection's last
+     * @param finish requests are waited for until then; what is still held is answered or moved at once
+     */
+    record Phases(long accept, long keep, long finish) {
+        /** New connections come for 0.4 s, and a router held to its share of a core sees them later. */
+        private static final long ACCEPT_MS = 600;
+        /** The process is killed no sooner than after the longest deadline, taken as so long where it is
+         *  longer, and so much more. */
+        private static final long LONGEST_DEADLINE_MS = 3_000;
+        private static final long KILLED_AFTER_MS = 700;
+        /** What the last answers may take. A stream that its client asks for again is read anew by an engine,
+         *  so none is ended earlier than it must. */
+        private static final long LAST_ANSWERS_MS = 300;
+
+        /** The phases for the deadlines (us) of these classes. Idle connections are kept for half of the time:
+         *  another router may be down as well, and what comes on them last has the other half. */
+        static Phases of(List<RequestClass> classes) {
+            long longest = classes.stream().mapToLong(c -> c.deadline() / 1000).max()
+                    .orElse(LONGEST_DEADLINE_MS);
+            long finish = Math.min(LONGEST_DEADLINE_MS, longest) + KILLED_AFTER_MS - LAST_ANSWERS_MS;
+            return new Phases(ACCEPT_MS, Math.max(ACCEPT_MS, finish / 2), finish);
+        }
+    }
+
+    private final List<Clients> fronts;
+    private final ModuleActor module;
+    private final Supplier<Config.Site> site;
+    private final Log log;
+    private final Store store;
+    private final String name;
+    private final Supplier<Announcer> announcer;
+    private final Operators operators;
+
+    /** A shutdown that has not begun; {@code store}, what {@code announcer} gives, and {@code operators} may be
+     *  null where an installation has none. */
+    GracefulShutdown(List<Clients> fronts, ModuleActor module, Supplier<Config.Site> site, Log log, Store store,
+            String name, Supplier<Announcer> announcer, Operators operators) {
+        this.fronts = fronts;
+        this.module = module;
+        this.site = site;
+        this.log = log;
+        this.store = store;
+        this.name = name;
+        this.announcer = announcer;
+        this.operators = operators;
+    }
+
+    @Override
+    public void run() {
+        try {
+            boolean succeeded = operators != null && operators.succeeded()
+                    && fronts.stream().anyMatch(Clients::shared);
+            log.log("stopping", "held", Integer.toString(module.held()), "succeeded",
+                    Boolean.toString(succeeded));
+            Phases phases = Phases.of(site.get().settings().classes());
+            if (succeeded) {
+                handOver(phases);
+            }
+            leaveRegistry();
+            finish(phases, succeeded);
+        } catch (IOException | InterruptedException e) {
+            log.log("stop-failed", "error", e.toString());
+        } finally {
+            if (operators != null) {
+                operators.ended();
+            }
+            log.logCounters();
+            log.log("stopped", "held", Integer.toString(module.held()));
+            log.flush();
+        }
+    }
+
+    /** A successor process takes what comes from now on; clients here move over little by little. */
+    private void handOver(Phases phases) throws IOException {
+        for (Clients c : fronts) {
+            c.stopAccepting();
+            c.empty(Mailbox.Clock.SYSTEM.micros() + phases.keep * 1000);
+        }
+    }
+
+    /** Before accepting ends: clients are to stop coming first. */
+    private void leaveRegistry() throws InterruptedException {
+        if (store != null) {
+            store.put("router/" + name, "stopping");
+        }
+        Announcer announced = announcer.get();
+        if (announced != null) {
+            announced.stop(DEREGISTER_MS);
+        }
+    }
+
+    private void finish(Phases phases, boolean handedOver) throws IOException, InterruptedException {
+        boolean accepting = true;
+        boolean keeping = !handedOver;
+        boolean waiting = true;
+        long begun = Mailbox.Clock.SYSTEM.micros();
+        while (accepting || fronts.stream().anyMatch(c -> c.open() > 0)) {
+            Thread.sleep(TICK_MS);
+            // By the clock: a process that is held to its share sleeps longer than it says.
+            long ms = (Mailbox.Clock.SYSTEM.micros() - begun) / 1000;
+            if (accepting && ms >= phases.accept) {
+                accepting = false;
+                for (Clients c : fronts) {
+                    c.stopAccepting();
+                }
+            }
+            if (keeping && ms >= phases.keep) {
+                keeping = false;
+                fronts.forEach(Clients::closeIdle);
+            }
+            if (waiting && ms >= phases.finish) {
+                waiting = false;
+                module.shutDown(site.get().settings().resume());
+            }
+            if (!waiting) {
+                fronts.forEach(c -> c.letGoStuck(STUCK));
+            }
+        }
+    }
+}
--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -43,20 +43,6 @@
 public final class Main {
     /** Descriptors for files, logs, discovery and probes; the rest is shared between clients and engines. */
     private static final int OTHER_DESCRIPTORS = 64;
-    /** After SIGTERM: how long the registry may take to forget this router, and how long new connections are
-     *  accepted: they come for 0.4 s, and a router held to its share sees them later (ms). Connections that
-     *  clients have are kept for half of the time until what is held is let go of, since another router may
-     *  be down as well: what comes on them last has the other half. */
-    private static final long DEREGISTER_MS = 400;
-    private static final long HAND_OVER_MS = 600;
-    /** The process is killed no sooner than after the longest deadline, taken as so long where it is longer,
-     *  and so much more; what is still held is let go of this long before: a stream that its client asks for
-     *  again is read anew by an engine, so none is ended earlier than it must (ms). */
-    private static final long LONGEST_MS = 3_000;
-    private static final long KILLED_AFTER_MS = 700;
-    private static final long LAST_WORDS_MS = 300;
-    /** After that, clients that have taken nothing for so long (us) are let go of. */
-    private static final long STUCK = 1_000_000;
     /** Where an installation names a registry of its own. */
     private static final Path REGISTRY = Path.of("deploy/registry.json");
     /** What streams may take, where an installation says otherwise. */
@@ -161,7 +147,7 @@
             console.start();
             log.log("console", "listen", at(r.console(), console.port()));
         }
-        Mailbox.thread("reload", () -> reload(r, hangups, discovery, log, later -> {
+        SettingsReload reload = new SettingsReload(r, hangups, discovery, REGISTRY, log, later -> {
             Config.Site next = site.get().followedBy(later);
             // The fronts go by it last: whatever they number is known by then.
             streams.settings(Allowances.read(STREAMS, next.settings().classes(),
@@ -169,11 +155,13 @@
             engines.settings(next);
             module.settings(next.settings());
             site.set(next);
-        })).start();
+        });
+        Mailbox.thread("reload", reload).start();
         Mailbox.thread("module", module::run).start();
         AtomicReference<Announcer> announcer = new AtomicReference<>();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(fronts, module, site, log, store,
-                r.name(), announcer.get(), operators)));
+        GracefulShutdown shutdown = new GracefulShutdown(fronts, module, site::get, log, store, r.name(),
+                announcer::get, operators);
+        Runtime.getRuntime().addShutdownHook(new Thread(shutdown));
         WarmUp.run(WarmUp.FEW);
         platform.warm();
         if (operators != null) {
@@ -250,116 +238,4 @@
         source.told().listed(operators::listed);
         return operators;
     }
-
-    /** What new settings do to the parts of a router. */
-    private interface Settings {
-        void hold(Config.Site later) throws IOException;
-    }
-
-    /** SIGHUP: the file is read again and checked whole. A file that can't be used changes nothing; the
-     *  settings and discovery's address are followed at once, and what else differs is named in the log, for
-     *  it takes a restart. */
-    private static void reload(Config.Router started, Mailbox<Object> hangups, Source discovery, Log log,
-            Settings settings) {
-        Config.Router inForce = started;
-        try {
-            while (true) {
-                hangups.take(Long.MAX_VALUE);
-                while (hangups.poll() != null) {
-                    log.count("hangups_together"); // The file is as new for them all.
-                }
-                try {
-                    Config.Router r = Config.reread(System.getenv(), inForce);
-                    Options registry = Options.read(REGISTRY);
-                    List<String> changed = inForce.changes(r);
-                    changed.removeIf(n -> !n.startsWith("settings."));
-                    List<String> restart = started.changes(r);
-                    restart.removeIf(n -> n.startsWith("settings."));
-                    settings.hold(r.site());
-                    inForce = r;
-                    if (discovery instanceof Registry g && registry != null) {
-                        g.move(registry);
-                    } else if (discovery instanceof Discovery d && registry == null && r.discovery() !=
-                            null) {
-                        d.move(r.discovery());
-                    } else {
-                        restart.add("registry");
-                    }
-                    log.count("reloads");
-                    log.log("reloaded", "discovery", registry == null ? r.discovery()
-                            : String.join(" ", registry.endpoints()), "changed", String.join(" ", changed),
-                            "needs_restart", String.join(" ", restart));
-                } catch (IOException | RuntimeException | StackOverflowError e) {
-                    log.count("reload_failures");
-                    log.log("reload-failed", "error", String.valueOf(e.getMessage()));
-                }
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    /** SIGTERM: new connections for the hand-over, then those that clients have, then only what is held, then
-     *  the counters and the end. */
-    private static void stop(List<Clients> fronts, ModuleActor module, AtomicReference<Config.Site> site,
-            Log log, Store store, String name, Announcer announcer, Operators operators) {
-        try {
-            boolean succeeded = operators != null && operators.succeeded()
-                    && fronts.stream().anyMatch(Clients::shared);
-            log.log("stopping", "held", Integer.toString(module.held()), "succeeded",
-                    Boolean.toString(succeeded));
-            long longest = site.get().settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max()
-                    .orElse(LONGEST_MS);
-            long letGo = Math.min(LONGEST_MS, longest) + KILLED_AFTER_MS - LAST_WORDS_MS;
-            long keep = Math.max(HAND_OVER_MS, letGo / 2);
-            if (succeeded) {
-                // Another process takes what comes from now on; clients here move over little by little.
-                for (Clients c : fronts) {
-                    c.stopAccepting();
-                    c.empty(Mailbox.Clock.SYSTEM.micros() + keep * 1000);
-                }
-            }
-            if (store != null) {
-                store.put("router/" + name, "stopping");
-            }
-            if (announcer != null) {
-                announcer.stop(DEREGISTER_MS); // Before accepting ends: clients are to stop coming first.
-            }
-            boolean accepts = true;
-            boolean keeps = !succeeded;
-            boolean holds = true;
-            long begun = Mailbox.Clock.SYSTEM.micros();
-            for (long ms = 0; accepts || fronts.stream().anyMatch(c -> c.open() > 0);) {
-                Thread.sleep(5);
-                // By the clock: a process that is held to its share sleeps longer than it says.
-                ms = (Mailbox.Clock.SYSTEM.micros() - begun) / 1000;
-                if (accepts && ms >= HAND_OVER_MS) {
-                    accepts = false;
-                    for (Clients c : fronts) {
-                        c.stopAccepting();
-                    }
-                }
-                if (keeps && ms >= keep) {
-                    keeps = false;
-                    fronts.forEach(Clients::closeIdle);
-                }
-                if (holds && ms >= letGo) {
-                    holds = false;
-                    module.shutDown(site.get().settings().resume());
-                }
-                if (!holds) {
-                    fronts.forEach(c -> c.letGoStuck(STUCK));
-                }
-            }
-        } catch (IOException | InterruptedException e) {
-            log.log("stop-failed", "error", e.toString());
-        } finally {
-            if (operators != null) {
-                operators.ended();
-            }
-            log.logCounters();
-            log.log("stopped", "held", Integer.toString(module.held()));
-            log.flush();
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/magpiehub/GracefulShutdownTest.java
@@ -0,0 +1,33 @@
+package magpiehub;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import magpiehub.GracefulShutdown.Phases;
+import magpiehub.core.Contract.Effect;
+import magpiehub.core.Contract.Group;
+import magpiehub.core.Contract.RequestClass;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The phases of a shutdown follow from the deadlines of the classes. */
+class GracefulShutdownTest {
+    private static RequestClass withDeadline(long ms) {
+        return new RequestClass("c", Effect.PURE, Group.ALL, 0, true, 0, 0, 0, ms * 1000, 0, 1, 0);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"300, 600, 700", "1000, 700, 1400", "3000, 1700, 3400", "20000, 1700, 3400"})
+    void theLongestDeadlineCountsUpToThreeSeconds(long deadline, long keep, long finish) {
+        Phases phases = Phases.of(List.of(withDeadline(100), withDeadline(deadline)));
+        assertEquals(new Phases(600, keep, finish), phases);
+        assertTrue(phases.finish() < Math.min(3000, deadline) + 700, "before the process is killed");
+    }
+
+    @Test
+    void aSiteWithoutClassesHasTheLongestPhases() {
+        assertEquals(new Phases(600, 1700, 3400), Phases.of(List.of()));
+    }
+}
