--- a/src/test/java/magpiehub/registry/WatchesTest.java
+++ b/src/test/java/magpiehub/registry/WatchesTest.java
@@ -72,6 +72,8 @@
         final List<Discovery> discoveries = List.of(new Discovery(), new Discovery());
         final List<Router> routers = new ArrayList<>();
         long now = 1000 * S;
+        /** How often a watch speaks while nothing changes; discovery's own period where a test looks at silence. */
+        long beat = STEP;
 
         void step() {
             now += STEP;
@@ -146,6 +148,7 @@
         /** When a list was last told; while a watch is open, that is always now. */
         long toldAt = Long.MIN_VALUE;
         Line live;
+        long beatAt;
 
         Router(Fleet fleet, Settings s, long seed) {
             this.fleet = fleet;
@@ -163,7 +166,10 @@
             }
             if (live != null && live.open && !live.closed) {
                 toldAt = fleet.now;
-                watches.spoke(live, fleet.now); // A beat more often than discovery's own.
+                if (fleet.now - beatAt >= fleet.beat) {
+                    beatAt = fleet.now;
+                    watches.spoke(live, fleet.now);
+                }
             }
         }
 
@@ -172,6 +178,7 @@
                 watches.spoke(l, fleet.now);
                 live = l;
                 toldAt = fleet.now;
+                beatAt = fleet.now;
                 rules.list(fleet.now, ListKind.COMPLETE,
                         List.of(new Server("e1", 0, 0, 0, State.LIVE, 1, 0)));
             }
@@ -307,6 +314,33 @@
         }
     }
 
+    /** All open watches fall silent in one moment, while discovery serves calls as before: whenever the last
+     *  beat was, what they miss is in force 6 s after that moment. */
+    @Test
+    public void whatASilentWatchMissedIsInForceInTime() throws Exception {
+        for (int seed = 1; seed <= 40; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            int routers = new int[] {3, 6, 12, 30, 100}[seed % 5];
+            // What the platform's discovery needs to tell all of its routers.
+            Fleet f = fleet(routers, 2 * S / routers, seed);
+            f.beat = 2 * S;
+            long silent = f.now + random.nextLong(5 * S);
+            while (f.now < silent) {
+                f.step();
+            }
+            f.discoveries.get(0).watches.forEach(l -> l.open = false);
+            f.discoveries.get(0).watches.clear();
+            silent = f.now;
+            while (f.now < silent + TOLD) {
+                f.step();
+            }
+            for (Router r : f.routers) {
+                assertTrue("seed " + seed + ": last told " + (silent - r.toldAt) / MS
+                        + " ms before the silence", r.toldAt > silent);
+            }
+        }
+    }
+
     /** What a fleet asks of a discovery that is down, and of one that has just come back. */
     @Test
     public void aFleetDoesNotComeBackAsAHerd() throws Exception {
