Use the threads of connections' readers again

ThreadCache keeps a finished reader's thread for 2 s for the next connection. LeavingTest counts the threads that are started for 300 short connections.

--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import magpiehub.core.Mailbox;
 import magpiehub.core.ModuleActor;
+import magpiehub.core.ThreadCache;
 import magpiehub.stream.Ledger.Ending;
 import magpiehub.stream.Streams;
 
@@ -54,6 +55,8 @@
     private static final long SILENT = 1_000_000;
     private static final long SILENT_AT_LIMIT = 300_000;
     private static final int MOST_DISCARDED = 1 << 20;
+    /** How long a reader's thread waits for another connection before it ends (us). */
+    private static final long READER_STAYS = 2_000_000;
     /** Bodies in hand at most, for all clients: the heap holds each up to three times while it is read. */
     private static final long MOST_IN_HAND = 12L << 20;
     /** What a client that comes while there is no room is told to wait (us). */
@@ -78,6 +81,7 @@
     private final int most;
     private final Door door;
     private final Mailbox.Crew crew;
+    private final ThreadCache readers = new ThreadCache("client-reader", READER_STAYS);
     private final Streams streams;
     private final long mailboxBytes;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
@@ -454,7 +458,7 @@
 
         private void startReader() {
             try {
-                Mailbox.thread("client-reader", this::read).start();
+                readers.execute(this::read);
             } catch (OutOfMemoryError e) {
                 mailbox.post(new Left());
                 throw e;
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -19,6 +19,7 @@
 import magpiehub.core.Mailbox;
 import magpiehub.core.ModuleActor;
 import magpiehub.core.ModuleActor.Attempt;
+import magpiehub.core.ThreadCache;
 import magpiehub.stream.Ledger;
 import magpiehub.stream.Streams;
 
@@ -47,6 +48,8 @@
     private static final int MOST_AHEAD = 8;
     /** How often the connections' times are looked at (us). */
     private static final long TICK = 50_000;
+    /** How long a reader's thread waits for another connection before it ends (us). */
+    private static final long READER_STAYS = 2_000_000;
 
     /** Where an engine listens now, and whether it takes new work. */
     private record Place(String hostPort, boolean takes) {
@@ -63,6 +66,7 @@
     private final Map<String, Place> places = new ConcurrentHashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Mailbox.Crew crew;
+    private final ThreadCache readers = new ThreadCache("engine-reader", READER_STAYS);
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private int connections;
     private ModuleActor module;
@@ -518,7 +522,7 @@
             written = 0;
             journal.count("engine_connects");
             String to = connectedTo;
-            Mailbox.thread("engine-reader", () -> read(s, to)).start();
+            readers.execute(() -> read(s, to));
         }
 
         private void write() {
--- a/src/test/java/magpiehub/LeavingTest.java
+++ b/src/test/java/magpiehub/LeavingTest.java
@@ -1,11 +1,33 @@
 package magpiehub;
 
+import static org.junit.Assert.assertTrue;
+
+import java.lang.management.ManagementFactory;
 import org.junit.Test;
 
 /** Clients that all leave at once, more than a file of exchanges has lines for. */
 public class LeavingTest {
     private static final int CLIENTS = 300;
 
+    /** Clients that connect, ask once and go, one after another: no thread is started for each. */
+    @Test
+    public void manyShortConnectionsNeedFewThreads() throws Exception {
+        try (Player p = new Player()) {
+            p.step("engines e1");
+            p.step("start");
+            long before = ManagementFactory.getThreadMXBean().getTotalStartedThreadCount();
+            for (int i = 0; i < CLIENTS; i++) {
+                p.step("c" + i + "> GET /up HTTP/1.1");
+                p.step("c" + i + "> ");
+                p.step("c" + i + "< HTTP/1.1 200 OK");
+                p.step("c" + i + "!");
+                p.step("counter clients_left " + (i + 1));
+            }
+            long started = ManagementFactory.getThreadMXBean().getTotalStartedThreadCount() - before;
+            assertTrue(started + " threads for " + CLIENTS + " connections", started < CLIENTS / 2);
+        }
+    }
+
     /** Their requests wait for the module; no engine hears of one of them, and who stays is served. */
     @Test
     public void ofABurstOfClientsThatLeaveNobodyIsSentOn() throws Exception {
