--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -20,10 +20,11 @@
  * are. It owns the header names. It must never change a byte of an event or of what engines are sent.
  */
 public final class PlatformFront implements Front {
-    /** What the router itself reads or says anew; engines get everything else that a client says of its
-     *  request, such as the key by which they drop repeats. In lower case. */
-    private static final Set<String> OWN_HEADERS = Set.of("content-type", "x-call-id", "x-call-class",
-            "x-caller", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost", "x-again");
+    /** What the router itself reads or says anew, and the codings that a client takes: the router reads the
+     *  events that it passes on. Engines get everything else that a client says of its request, such as the
+     *  key by which they drop repeats. In lower case. */
+    private static final Set<String> OWN_HEADERS = Set.of("accept-encoding", "content-type", "x-call-id",
+            "x-call-class", "x-caller", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost", "x-again");
     static final String PATH = "/v1/chat/completions";
     private static final int WARM_ROUNDS = 60;
     private final Supplier<Config.Site> site;
