Listen only once requests can be read, and ask no engine for what came too late

Clients were let into the socket from its bind on, half a second of warm-up before anybody read there (Main.serve), and a deadline is counted from the first byte's reading: it was half a second late. Ruled out: exceptions, descriptors, the readers' threads, a client taken for gone (no request was abandoned), the killed routers' requests.

The socket is bound after the warm-up, while discovery is asked as before; a client that comes sooner is refused and asks elsewhere. ServeTest looks when a router listens, RulesTest at requests without time left.

--- a/src/main/java/magpiehub/Main.java
+++ b/src/main/java/magpiehub/Main.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -117,36 +117,11 @@
         engines.module(module);
         Supplier<String> counters = () -> log.counters() + streams.figures() + discovery.figures()
                 + (plan == null ? "" : plan.figures());
-        AtomicBoolean warm = new AtomicBoolean();
-        BooleanSupplier ready = () -> warm.get() && discovery.known();
+        BooleanSupplier ready = discovery::known;
         PlatformFront platform = new PlatformFront(site::get);
-        Door door = r.inherited() ? Door.inherited() : Door.bind(Config.socketAddress(r.listen()));
-        Clients clients = new Clients(door, platform, module,
-                clock, log,
-                ready, counters, forClients * 15 / 16 - 4, crew, streams);
-        if (!clients.shared()) {
-            clients.start();
-        }
-        // The next two are off unless a file of the deployment's gives their address; the platform has none.
-        MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
-        Store store = ReplicatedStore.read(Path.of("deploy/store.json"), r.name(), clock, log);
-        Clients messages = options == null ? null : new Clients(
-                Door.bind(Config.socketAddress(options.listen())), new MessagesFront(site::get, options,
-                        store), module, clock, log, ready, counters,
-                        MESSAGES_CLIENTS, crew, streams);
-        if (messages != null) {
-            messages.start();
-            log.log("messages-front", "listen", options.listen());
-        }
-        List<Clients> fronts = messages == null ? List.of(clients) : List.of(clients, messages);
+        List<Clients> fronts = new CopyOnWriteArrayList<>();
         Operators operators = operators(r, fronts, discovery, ready, plan, clock, log);
         discovery.start(module, r.known());
-        if (operators != null) {
-            operators.start();
-            Console console = new Console(Config.socketAddress(r.console()), operators::call, log);
-            console.start();
-            log.log("console", "listen", at(r.console(), console.port()));
-        }
         SettingsReload reload = new SettingsReload(r, hangups, discovery, REGISTRY, log, later -> {
             Config.Site next = site.get().followedBy(later);
             // The fronts go by it last: whatever they number is known by then.
@@ -158,21 +133,39 @@
         });
         Mailbox.thread("reload", reload).start();
         Mailbox.thread("module", module::run).start();
+        WarmUp.run(WarmUp.FEW);
+        platform.warm();
+        // Not before: a request that waits in the socket of a process that can't read it yet loses time that
+        // nobody counts, for its deadline runs from when it was sent.
+        Door door = r.inherited() ? Door.inherited() : Door.bind(Config.socketAddress(r.listen()));
+        Clients clients = new Clients(door, platform, module,
+                clock, log,
+                ready, counters, forClients * 15 / 16 - 4, crew, streams);
+        fronts.add(clients);
+        // The next two are off unless a file of the deployment's gives their address; the platform has none.
+        MessagesFront.Options options = MessagesFront.Options.read(Path.of("deploy/messages.json"));
+        Store store = ReplicatedStore.read(Path.of("deploy/store.json"), r.name(), clock, log);
+        if (options != null) {
+            Clients messages = new Clients(Door.bind(Config.socketAddress(options.listen())),
+                    new MessagesFront(site::get, options, store), module, clock, log, ready, counters,
+                    MESSAGES_CLIENTS, crew, streams);
+            fronts.add(messages);
+            messages.start();
+            log.log("messages-front", "listen", options.listen());
+        }
         AtomicReference<Announcer> announcer = new AtomicReference<>();
         GracefulShutdown shutdown = new GracefulShutdown(fronts, module, site::get, log, store, r.name(),
                 announcer::get, operators);
         Runtime.getRuntime().addShutdownHook(new Thread(shutdown));
-        WarmUp.run(WarmUp.FEW);
-        platform.warm();
         if (operators != null) {
-            // First: an older process ends once this one says yes, and looks then for who takes its clients.
+            operators.start();
+            Console console = new Console(Config.socketAddress(r.console()), operators::call, log);
+            console.start();
+            log.log("console", "listen", at(r.console(), console.port()));
+            // An older process ends once this one says yes, and looks then for who takes its clients.
             operators.serving();
         }
-        warm.set(true);
-        if (clients.shared()) {
-            // Not before: what comes to a socket that an older process serves too is left to it until then.
-            clients.start();
-        }
+        clients.start();
         String listen = at(r.listen(), clients.port());
         log.log("started", "listen", listen);
         if (registry != null && registry.announce() != null) {
--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -348,7 +348,8 @@
         seen = seen * Math.exp((seenAt - now) / SHARE_TAU) + 1;
         seenAt = now;
         retryBudget = Math.min(RETRY_SAVED, retryBudget + RETRY_EARN);
-        if (r.cls() < 0 || r.cls() >= s.classes().size() || !admit(r)) {
+        // What came too late is no sign of overload, and no engine is asked for it.
+        if (r.cls() < 0 || r.cls() >= s.classes().size() || r.deadline() <= now || !admit(r)) {
             turnAway(h);
         } else {
             place(h);
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -197,6 +197,45 @@
         }
     }
 
+    /** Before that, a request would wait in the socket and its deadline be counted from too late. */
+    @Test
+    public void aRouterListensOnlyOnceItCanRead() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
+                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
+            int port;
+            try (ServerSocket free = new ServerSocket(0, 8, loopback)) {
+                port = free.getLocalPort();
+            }
+            Path config = folder.newFile().toPath();
+            write(config, discovery, engine);
+            Files.writeString(config, Files.readString(config).replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\""));
+            long begun = System.nanoTime();
+            Process p = start(config, discovery);
+            try (BufferedReader log = p.inputReader()) {
+                long listens = listens(loopback, port, p);
+                until(log, " started ");
+                long started = System.nanoTime();
+                assertTrue("listens at " + (listens - begun) / 1_000_000 + " ms of " + (started - begun) / 1_000_000,
+                        started - listens < (started - begun) / 5);
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
+    /** When a connection first came up. */
+    private static long listens(InetAddress at, int port, Process p) throws Exception {
+        while (p.isAlive()) {
+            try (Socket s = new Socket(at, port)) {
+                return System.nanoTime();
+            } catch (java.net.ConnectException e) {
+                Thread.sleep(5); // Refused: looks again until the process ends.
+            }
+        }
+        throw new AssertionError("it ended");
+    }
+
     /** The first class is what a start rehearses with: no name of one may end it. */
     @Test
     public void aSiteWhoseNamesAreNotAsciiStarts() throws Exception {
--- a/src/test/java/magpiehub/core/RulesTest.java
+++ b/src/test/java/magpiehub/core/RulesTest.java
@@ -82,6 +82,19 @@
         b.pass(S);
     }
 
+    /** Its client has stopped waiting: an attempt could only waste an engine's work. */
+    @Test
+    void aRequestWithoutTimeLeftIsRefusedAndNotSent() {
+        Bench b = new Bench(Bench.settings(1)).list(names(4));
+        for (long late : new long[] {0, 1, S}) {
+            String id = "late" + late;
+            b.node.request(b.now, new Contract.Request(id, 0, 0, 7, 0, b.now - late, 0, 1000, 800, 100, false,
+                    false, false));
+            assertEquals("refused", b.finals.get(id));
+            assertNull(b.where(id));
+        }
+    }
+
     /** More attempts, and attempts in parallel, are for requests that come after the reload. */
     @Test
     void aRequestKeepsTheLimitsThatItCameUnder() {
