--- a/src/main/java/magpiehub/GracefulShutdown.java
+++ b/src/main/java/magpiehub/GracefulShutdown.java
@@ -45,8 +45,8 @@
          *  so none is ended earlier than it must. */
         private static final long LAST_ANSWERS_MS = 300;
 
-        /** The phases for the deadlines (us) of these classes. Idle connections are kept for half of the time:
-         *  another router may be down as well, and what comes on them last has the other half. */
+        /** The phases for the deadlines (us) of these classes. Idle connections are kept for half of the
+         *  time: another router may be down as well, and what comes on them last has the other half. */
         static Phases of(List<RequestClass> classes) {
             long longest = classes.stream().mapToLong(c -> c.deadline() / 1000).max()
                     .orElse(LONGEST_DEADLINE_MS);
@@ -64,10 +64,10 @@
     private final Supplier<Announcer> announcer;
     private final Operators operators;
 
-    /** A shutdown that has not begun; {@code store}, what {@code announcer} gives, and {@code operators} may be
-     *  null where an installation has none. */
-    GracefulShutdown(List<Clients> fronts, ModuleActor module, Supplier<Config.Site> site, Log log, Store store,
-            String name, Supplier<Announcer> announcer, Operators operators) {
+    /** A shutdown that has not begun; {@code store}, what {@code announcer} gives, and {@code operators} may
+     *  be null where an installation has none. */
+    GracefulShutdown(List<Clients> fronts, ModuleActor module, Supplier<Config.Site> site, Log log,
+            Store store, String name, Supplier<Announcer> announcer, Operators operators) {
         this.fronts = fronts;
         this.module = module;
         this.site = site;
--- a/src/main/java/magpiehub/SettingsReload.java
+++ b/src/main/java/magpiehub/SettingsReload.java
@@ -13,8 +13,9 @@
 
 /**
  * Reads the configuration again on each SIGHUP. A file is taken whole or not at all: one that can't be used
- * is logged and changes nothing. Settings and the address of discovery are followed at once; what else differs
- * is named in the log, since it takes a restart. Runs on a thread of its own until that is interrupted.
+ * is logged and changes nothing. Settings and the address of discovery are followed at once; what else
+ * differs is named in the log, since it takes a restart. Runs on a thread of its own until that is
+ * interrupted.
  */
 final class SettingsReload implements Runnable {
     /** Hands new settings to the parts of the router, in an order that suits them. */
--- a/src/main/java/magpiehub/front/PlatformFront.java
+++ b/src/main/java/magpiehub/front/PlatformFront.java
@@ -24,7 +24,8 @@
      *  events that it passes on. Engines get everything else that a client says of its request, such as the
      *  key by which they drop repeats. In lower case. */
     private static final Set<String> OWN_HEADERS = Set.of("accept-encoding", "content-type", "x-call-id",
-            "x-call-class", "x-caller", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost", "x-again");
+            "x-call-class", "x-caller", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost",
+            "x-again");
     static final String PATH = "/v1/chat/completions";
     private static final int WARM_ROUNDS = 60;
     private final Supplier<Config.Site> site;
@@ -138,8 +139,8 @@
         return c;
     }
 
-    /** A header's value as the settings spell names: heads are read as bytes, one character each, and names in
-     *  them are UTF-8. What is not UTF-8 stays as it was read, and null stays null. */
+    /** A header's value as the settings spell names: heads are read as bytes, one character each, and names
+     *  in them are UTF-8. What is not UTF-8 stays as it was read, and null stays null. */
     static String name(String value) {
         if (value == null || value.chars().allMatch(c -> c < 0x80)) {
             return value;
--- a/src/main/java/magpiehub/net/Http.java
+++ b/src/main/java/magpiehub/net/Http.java
@@ -23,7 +23,8 @@
     private static final int MOST_HEADERS = 100;
     private static final int MOST_CHUNK_LINE = 256;
     private static final int MOST_CHUNK = 4 * MOST_BODY;
-    /** Headers that speak of one connection or one message's framing (RFC 9110, 7.6.1), and of its receiver. */
+    /** Headers that speak of one connection or one message's framing (RFC 9110, 7.6.1), and of its
+     *  receiver. */
     private static final Set<String> HOP_BY_HOP = Set.of("connection", "content-length", "expect", "host",
             "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
             "transfer-encoding", "upgrade");
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -209,14 +209,16 @@
             }
             Path config = folder.newFile().toPath();
             write(config, discovery, engine);
-            Files.writeString(config, Files.readString(config).replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\""));
+            Files.writeString(config, Files.readString(config)
+                    .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\""));
             long begun = System.nanoTime();
             Process p = start(config, discovery);
             try (BufferedReader log = p.inputReader()) {
                 long listens = listens(loopback, port, p);
                 until(log, " started ");
                 long started = System.nanoTime();
-                assertTrue("listens at " + (listens - begun) / 1_000_000 + " ms of " + (started - begun) / 1_000_000,
+                assertTrue("listens at " + (listens - begun) / 1_000_000 + " ms of "
+                        + (started - begun) / 1_000_000,
                         started - listens < (started - begun) / 5);
             } finally {
                 p.destroyForcibly();
--- a/src/test/java/magpiehub/core/OverloadControlTest.java
+++ b/src/test/java/magpiehub/core/OverloadControlTest.java
@@ -43,8 +43,8 @@
         return b;
     }
 
-    /** Once little comes, and of one class only, control lets it through: not one router in ten turns away all of
-     *  fifteen requests within 4 s, and after 10 s nothing is refused any more. */
+    /** Once little comes, and of one class only, control lets it through: not one router in ten turns away
+     *  all of fifteen requests within 4 s, and after 10 s nothing is refused any more. */
     @Test
     void aRouterWithLittleTrafficLeavesOverloadControl() {
         int turnedAllAway = 0;
@@ -77,8 +77,8 @@
         assertTrue(turnedAllAway <= routers / 10, turnedAllAway + " of " + routers + " routers");
     }
 
-    /** Under overload the refusals of one class fall on conversations as chance has it: those of which all turns
-     *  are refused are no more than chance gives, and a little. */
+    /** Under overload the refusals of one class fall on conversations as chance has it: those of which all
+     *  turns are refused are no more than chance gives, and a little. */
     @Test
     void noSetOfConversationsIsRefusedThroughout() {
         for (int seed = 1; seed <= 40; seed++) {
@@ -113,8 +113,8 @@
                 throughout += r == turns ? 1 : 0;
             }
             double chance = Math.pow(part, turns);
-            assertTrue(throughout <= conversations * (chance + 0.12), "seed " + seed + ": " + throughout + " of "
-                    + conversations + " conversations, " + part + " of all turns");
+            assertTrue(throughout <= conversations * (chance + 0.12), "seed " + seed + ": " + throughout
+                    + " of " + conversations + " conversations, " + part + " of all turns");
         }
     }
 }
--- a/src/test/java/magpiehub/core/ZonesTest.java
+++ b/src/test/java/magpiehub/core/ZonesTest.java
@@ -121,7 +121,8 @@
         assertNull(b.finals.get(id));
     }
 
-    /** An attempt that is stopped before its first byte since its replica drains tells nothing of the zone. */
+    /** An attempt that is stopped before its first byte since its replica drains tells nothing of its
+     *  zone. */
     @Test
     public void aReplicaThatDrainsUnderAnAttemptIsNoSignOfALostZone() {
         String id = there();
--- a/src/test/java/magpiehub/registry/WatchesTest.java
+++ b/src/test/java/magpiehub/registry/WatchesTest.java
@@ -72,7 +72,8 @@
         final List<Discovery> discoveries = List.of(new Discovery(), new Discovery());
         final List<Router> routers = new ArrayList<>();
         long now = 1000 * S;
-        /** How often a watch speaks while nothing changes; discovery's own period where a test looks at silence. */
+        /** How often a watch speaks while nothing changes; discovery's own period where a test looks at
+         *  silence. */
         long beat = STEP;
 
         void step() {
--- a/src/test/java/magpiehub/stream/StreamsTest.java
+++ b/src/test/java/magpiehub/stream/StreamsTest.java
@@ -41,11 +41,11 @@
     @Test
     public void anEngineThatIsNotListenedToIsNeverSilent() throws Exception {
         Crossing clock = new Crossing();
-        Config.Site site = Config.site(Config.facts(Files.readAllBytes(Path.of("src/test/resources/site.json")),
-                "site"));
-        Allowances allowances = Allowances.of(Config.facts(("{\"buffer_kb\":" + BUFFER / 1024
-                + ",\"pause_ms\":" + 2 * PAUSE / 1000 + "}").getBytes(), "streams"), site.settings().classes(),
-                64 << 20);
+        byte[] settings = Files.readAllBytes(Path.of("src/test/resources/site.json"));
+        Config.Site site = Config.site(Config.facts(settings, "site"));
+        String allowed = "{\"buffer_kb\":" + BUFFER / 1024 + ",\"pause_ms\":" + 2 * PAUSE / 1000 + "}";
+        Allowances allowances = Allowances.of(Config.facts(allowed.getBytes(), "streams"),
+                site.settings().classes(), 64 << 20);
         Streams streams = new Streams(allowances, site, clock, new Log(System.err, "test", 1));
         Streams.Flow flow = streams.open(0, 0, "r", () -> { });
         streams.begun(flow, "e");
