--- a/src/main/java/magpiehub/core/ThreadCache.java
+++ b/src/main/java/magpiehub/core/ThreadCache.java
@@ -6,8 +6,8 @@
  * Platform threads with small stacks for work that blocks, such as reading one connection to its end. A
  * thread that has finished waits a moment for more work before it ends: where connections come and go by the
  * hundred a second, starting and ending a thread for each costs more than serving it, and ended threads may
- * pile up faster than the system takes them back. There is no bound on the threads at work; whoever hands work in
- * bounds that. Safe for use from any thread.
+ * pile up faster than the system takes them back. There is no bound on the threads at work; whoever hands
+ * work in bounds that. Safe for use from any thread.
  */
 public final class ThreadCache {
     private final String name;
