Give what an engine's event says a class of its own, and reader threads one stay

EngineEvent was nested in Engines, which is long; Clients and Engines each named the same two seconds for which a reader's thread waits for more work, now a default of ThreadCache.

--- a/src/main/java/magpiehub/core/ThreadCache.java
+++ b/src/main/java/magpiehub/core/ThreadCache.java
@@ -10,11 +10,19 @@
  * work in bounds that. Safe for use from any thread.
  */
 public final class ThreadCache {
+    /** How long a thread waits for more work where nothing else is said (us). */
+    private static final long DEFAULT_STAY = 2_000_000;
+
     private final String name;
     private final long stayNanos;
     /** Those that wait for work, the longest waiting first; its monitor guards it. */
     private final ArrayDeque<Worker> idle = new ArrayDeque<>();
 
+    /** A cache without threads, which wait for more work for as long as is usual. */
+    public ThreadCache(String name) {
+        this(name, DEFAULT_STAY);
+    }
+
     /**
      * A cache without threads.
      *
--- a/src/main/java/magpiehub/net/Clients.java
+++ b/src/main/java/magpiehub/net/Clients.java
@@ -55,8 +55,6 @@
     private static final long SILENT = 1_000_000;
     private static final long SILENT_AT_LIMIT = 300_000;
     private static final int MOST_DISCARDED = 1 << 20;
-    /** How long a reader's thread waits for another connection before it ends (us). */
-    private static final long READER_STAYS = 2_000_000;
     /** Bodies in hand at most, for all clients: the heap holds each up to three times while it is read. */
     private static final long MOST_IN_HAND = 12L << 20;
     /** What a client that comes while there is no room is told to wait (us). */
@@ -81,7 +79,7 @@
     private final int most;
     private final Door door;
     private final Mailbox.Crew crew;
-    private final ThreadCache readers = new ThreadCache("client-reader", READER_STAYS);
+    private final ThreadCache readers = new ThreadCache("client-reader");
     private final Streams streams;
     private final long mailboxBytes;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -48,8 +48,6 @@
     private static final int MOST_AHEAD = 8;
     /** How often the connections' times are looked at (us). */
     private static final long TICK = 50_000;
-    /** How long a reader's thread waits for another connection before it ends (us). */
-    private static final long READER_STAYS = 2_000_000;
 
     /** Where an engine listens now, and whether it takes new work. */
     private record Place(String hostPort, boolean takes) {
@@ -66,7 +64,7 @@
     private final Map<String, Place> places = new ConcurrentHashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Mailbox.Crew crew;
-    private final ThreadCache readers = new ThreadCache("engine-reader", READER_STAYS);
+    private final ThreadCache readers = new ThreadCache("engine-reader");
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private int connections;
     private ModuleActor module;
@@ -594,7 +592,7 @@
             if (outcome != null) {
                 return false;
             }
-            if (Stream.isError(bytes)) {
+            if (EngineEvent.isError(bytes)) {
                 journal.log("engine-error-event", "engine", server, "begun", Boolean.toString(begun));
                 drop();
                 if (!begun) {
@@ -611,7 +609,7 @@
             }
             heardAt = now;
             eventAt = begun && bytes[0] == ':' ? eventAt : now;
-            long k = Stream.kept(bytes);
+            long k = EngineEvent.kept(bytes);
             kept = k >= 0 ? k : kept;
             if (reports.inAnswers()) {
                 String r = Reports.comment(bytes);
@@ -655,10 +653,10 @@
             if (!e.reusable) {
                 drop();
             }
-            if (lastEvent != null && !Stream.known(lastEvent)) {
+            if (lastEvent != null && !EngineEvent.known(lastEvent)) {
                 // The framing says that the stream is whole, whatever its last event is called.
                 journal.count("unknown_last_events");
-                journal.log("unknown-last-event", "engine", server, "event", Stream.brief(lastEvent));
+                journal.log("unknown-last-event", "engine", server, "event", EngineEvent.brief(lastEvent));
             }
             start();
             outcome = Outcome.OK;
@@ -801,59 +799,4 @@
     private String reported(Http.Head h) {
         return reports.inAnswers() ? h.get(Reports.HEADER) : null;
     }
-
-    /** What an engine's events say to the router; the events themselves pass through as they are. */
-    static final class Stream {
-        private Stream() {
-        }
-
-        private static boolean contains(byte[] b, String word) {
-            int n = word.length();
-            outer:
-            for (int i = 0; i + n <= b.length; i++) {
-                for (int j = 0; j < n; j++) {
-                    if (b[i + j] != word.charAt(j)) {
-                        continue outer;
-                    }
-                }
-                return true;
-            }
-            return false;
-        }
-
-        /** An error told inside a stream: its name says so, or its data is an object that begins with one. */
-        static boolean isError(byte[] event) {
-            if (!contains(event, "error")) {
-                return false;
-            }
-            String text = new String(event, StandardCharsets.UTF_8);
-            return text.startsWith("event: error") || text.contains("\nevent: error")
-                    || Front.data(event).replace(" ", "").startsWith("{\"error\"");
-        }
-
-        /** An event of the engines' dialect, or a comment. */
-        static boolean known(byte[] event) {
-            return event.length == 0 || event[0] == ':' || contains(event, "\"choices\"")
-                    || Front.data(event).equals("[DONE]");
-        }
-
-        /** Prompt tokens found kept, where the event tells it; else -1. */
-        static long kept(byte[] event) {
-            if (!contains(event, "\"cached_tokens\"")) {
-                return -1;
-            }
-            try {
-                return (long) Config.facts(Front.data(event).getBytes(StandardCharsets.UTF_8), "event")
-                        .object("usage")
-                        .object("prompt_tokens_details").number("cached_tokens", -1);
-            } catch (IOException | Config.Malformed e) {
-                return -1; // An answer's text may hold the word too.
-            }
-        }
-
-        /** The event's beginning, for the log. */
-        static String brief(byte[] event) {
-            return new String(event, 0, Math.min(event.length, 120), StandardCharsets.UTF_8).strip();
-        }
-    }
 }
