Tell the module of a stream's end before its client, who may ask again at once

Cause: Engines.Connection.finish told the client's actor first and the module after it, so a client that read the end could be heard by the module before the end itself; its request was answered as failed. Ruled out: the test alone, for the module's mailbox is first in, first out, and only the order of these two words decides. Change: the module's word goes first. EnginesTest.aClientThatHasReadTheEndFindsItsRequestOver asks again inside the word of the end, for a whole stream and a broken one; without the change it fails each time (the second request never reaches the engine).

--- a/src/main/java/magpiehub/net/Engines.java
+++ b/src/main/java/magpiehub/net/Engines.java
@@ -689,18 +689,21 @@
             }
         }
 
-        /** Ends a begun stream once it is granted: the client's side first, then the module. */
+        /** Ends a begun stream once it is granted. The module hears of it before the client does: a client
+         *  that has read the end may ask again at once, and is to find its request over. */
         private void finish() {
             if (!granted || outcome == null || lease == null) {
                 return;
             }
+            Front.Sink client = sink;
+            Ledger.Ending ending = outcome == Outcome.ERROR ? Ledger.Ending.ENGINE_ERROR
+                    : silent ? Ledger.Ending.ENGINE_STALLED : Ledger.Ending.ENGINE_BROKE;
+            over(outcome);
             if (outcome == Outcome.OK) {
-                sink.end();
+                client.end();
             } else {
-                sink.broken(error, outcome == Outcome.ERROR ? Ledger.Ending.ENGINE_ERROR
-                        : silent ? Ledger.Ending.ENGINE_STALLED : Ledger.Ending.ENGINE_BROKE);
+                client.broken(error, ending);
             }
-            over(outcome);
         }
 
         /** Ends an attempt that has begun nothing. A socket that may still bring an answer is closed
--- a/src/test/java/magpiehub/net/EnginesTest.java
+++ b/src/test/java/magpiehub/net/EnginesTest.java
@@ -1,8 +1,12 @@
 package magpiehub.net;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
-import magpiehub.core.Contract.Request;
 import magpiehub.core.Contract.Server;
 import magpiehub.core.Contract.State;
 import magpiehub.core.Mailbox;
@@ -21,6 +24,7 @@
 import magpiehub.front.PlatformFront;
 import magpiehub.ops.Log;
 import magpiehub.stream.Allowances;
+import magpiehub.stream.Ledger;
 import magpiehub.stream.Streams;
 import org.junit.After;
 import org.junit.Test;
@@ -28,9 +32,12 @@
 /** What no recorded exchange can time: a list that changes between the decision and the write. */
 public class EnginesTest {
     private final Log log = new Log(System.err, "test", 1);
-    private final CompletableFuture<String> answer = new CompletableFuture<>();
+    private volatile CompletableFuture<String> answer = new CompletableFuture<>();
     private volatile boolean gone;
     private Thread thread;
+    private Config.Site site;
+    private Streams streams;
+    private ModuleActor module;
 
     @After
     public void stop() {
@@ -41,7 +48,8 @@
     public void anEngineThatDrainsAfterTheDecisionGetsNothing() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             // The list's actor has heard of the drain; its word to the module is still under way.
-            ask(engine, false);
+            start(engine, false);
+            take(null);
             assertEquals("refused", answer.get(60, TimeUnit.SECONDS));
             assertTrue(log.counters(), log.counters().contains("drained_before_write 1\n"));
             engine.setSoTimeout(1);
@@ -57,7 +65,8 @@
                 Socket first = new Socket(); Socket second = new Socket()) {
             first.connect(engine.getLocalSocketAddress());
             second.connect(engine.getLocalSocketAddress());
-            ask(engine, true);
+            start(engine, true);
+            take(null);
             counted("engine_connects 1\n");
             gone = true;
             engine.setSoTimeout(60_000);
@@ -78,63 +87,132 @@
         }
     }
 
-    /** One request for an engine, of which the list says at last that it takes work, or not. */
-    private void ask(ServerSocket engine, boolean takes) throws Exception {
-        Config.Site site = Config.site(Config.facts(
-                Files.readString(Path.of("src/test/resources/site.json"))
-                        .replace("\"connectTimeoutMs\":250", "\"connectTimeoutMs\":30000").getBytes(),
-                "settings"));
-        ModuleActor.Client client = new ModuleActor.Client() {
-            @Override
-            public void refuse(long retryAfter) {
-                answer.complete("refused");
+    /** The module hears of a stream's end before its client does: a client that asks again as soon as it has
+     *  read the end, under the same id, finds its request over. */
+    @Test
+    public void aClientThatHasReadTheEndFindsItsRequestOver() throws Exception {
+        for (String last : List.of("0\r\n\r\n", "")) {
+            answer = new CompletableFuture<>();
+            try (ServerSocket engine = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+                start(engine, true);
+                CompletableFuture<Boolean> again = new CompletableFuture<>();
+                take(new AskAgain(() -> again.complete(take(new AskAgain(() -> { })))));
+                serve(engine, last);
+                assertTrue("there was no room", again.get(60, TimeUnit.SECONDS));
+                serve(engine, "0\r\n\r\n");
+                assertFalse(log.counters(), log.counters().contains("ids_in_use"));
+                assertFalse("answered by the module: " + answer, answer.isDone());
             }
+            thread.interrupt();
+        }
+    }
 
-            @Override
-            public void fail(String why) {
-                answer.complete("failed");
-            }
+    /** One event, and the end of the stream: its last chunk, or none. */
+    private static void serve(ServerSocket engine, String last) throws IOException {
+        engine.setSoTimeout(60_000);
+        try (Socket s = engine.accept()) {
+            Http.Input in = new Http.Input(s.getInputStream(), Mailbox.Clock.SYSTEM::micros);
+            assertTrue(in.await());
+            in.body(in.head(true));
+            String event = "data: {\"choices\":[]}\n\n";
+            s.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" + last).getBytes());
+        }
+    }
 
-            @Override
-            public void move() {
-                answer.complete("moved");
-            }
+    /** The client's side of a stream: does something the moment it is told of the end. */
+    private final class AskAgain implements Front.Sink {
+        private final Streams.Flow flow = streams.open(0, -1, "1", () -> { });
+        private final Runnable atTheEnd;
 
-            @Override
-            public boolean gone() {
-                return gone;
-            }
-        };
-        ModuleActor.Roster roster = new ModuleActor.Roster() {
-            @Override
-            public void watch() {
-            }
+        AskAgain(Runnable atTheEnd) {
+            this.atTheEnd = atTheEnd;
+        }
 
-            @Override
-            public void unwatch() {
-            }
+        @Override
+        public void event(byte[] event) {
+        }
 
-            @Override
-            public void fetch() {
-            }
-        };
-        Engines engines = new Engines(site, 8, Mailbox.Clock.SYSTEM, log, new Mailbox.Crew(),
-                new Streams(Allowances.none(site.settings().classes(), 64 << 20), site, Mailbox.Clock.SYSTEM,
-                        log));
-        ModuleActor module = new ModuleActor(site.settings(), 7, Mailbox.Clock.SYSTEM, engines, roster, log);
+        @Override
+        public void end() {
+            atTheEnd.run();
+        }
+
+        @Override
+        public void broken(byte[] error, Ledger.Ending why) {
+            atTheEnd.run();
+        }
+
+        @Override
+        public Streams.Flow flow() {
+            return flow;
+        }
+    }
+
+    private final ModuleActor.Client client = new ModuleActor.Client() {
+        @Override
+        public void refuse(long retryAfter) {
+            answer.complete("refused");
+        }
+
+        @Override
+        public void fail(String why) {
+            answer.complete("failed");
+        }
+
+        @Override
+        public void move() {
+            answer.complete("moved");
+        }
+
+        @Override
+        public boolean gone() {
+            return gone;
+        }
+    };
+    private final ModuleActor.Roster roster = new ModuleActor.Roster() {
+        @Override
+        public void watch() {
+        }
+
+        @Override
+        public void unwatch() {
+        }
+
+        @Override
+        public void fetch() {
+        }
+    };
+
+    /** One engine, of which the list says at last that it takes work, or not. */
+    private void start(ServerSocket engine, boolean takes) throws IOException {
+        site = Config.site(Config.facts(Files.readString(Path.of("src/test/resources/site.json"))
+                .replace("\"connectTimeoutMs\":250", "\"connectTimeoutMs\":30000").getBytes(), "settings"));
+        streams = new Streams(Allowances.none(site.settings().classes(), 64 << 20), site,
+                Mailbox.Clock.SYSTEM, log);
+        Engines engines = new Engines(site, 8, Mailbox.Clock.SYSTEM, log, new Mailbox.Crew(), streams);
+        module = new ModuleActor(site.settings(), 7, Mailbox.Clock.SYSTEM, engines, roster, log);
         engines.module(module);
         thread = Mailbox.thread("module", module::run);
         thread.start();
         module.list(ListKind.SAVED, List.of(new Server("e", 0, 0, 0, State.LIVE, 1, 0)));
         engines.place("e", "127.0.0.1:" + engine.getLocalPort(), takes, false);
+    }
+
+    /** A request, always with the same id; false if the module has no room for it. */
+    private boolean take(Front.Sink sink) {
         String text = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: chat\r\n"
                 + "X-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
-        Http.Input in = new Http.Input(new java.io.ByteArrayInputStream(text.getBytes()),
+        Http.Input in = new Http.Input(new ByteArrayInputStream(text.getBytes()),
                 Mailbox.Clock.SYSTEM::micros);
-        assertTrue(in.await());
-        Http.Head head = in.head(true);
-        Front.Call call = new PlatformFront(() -> site).read(head, in.body(head), in.firstAt());
-        Request r = call.request;
-        assertTrue(module.take(r, client, call, 2));
+        try {
+            assertTrue(in.await());
+            Http.Head head = in.head(true);
+            Front.Call call = new PlatformFront(() -> site).read(head, in.body(head), in.firstAt());
+            call.sink(sink);
+            return module.take(call.request, client, call, 2);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
