Let a router that has sent nothing for 2 s let a request through under overload

Cause: Rules.control refuses the class that is worth least wholly while it remembers others, and with no answer coming in its figures of good and bad say nothing either, so that refusals end only by their slow steps down. Change: admit refuses nothing where the node has sent nothing for 2 s. While other classes are served that never holds, so what is worth least is refused first as before (overloadRefusesWhatIsWorthLeast).

--- a/src/main/java/magpiehub/core/Rules.java
+++ b/src/main/java/magpiehub/core/Rules.java
@@ -19,8 +19,7 @@
  * of warm replicas, in rotation. A new key takes the next ready replica under capacity, round-robin from a
  * place on the ring that its id gives, so that all nodes begin at the same place. The outcome
  * ({@link #outcome}) confirms the mapping; the least recently used mappings age out. Everything else in here
- * is an exception to that path and says at its place what it guards against; docs/design.md lists them all
- * with their conditions.
+ * is an exception to that path and says at its place what it guards against; docs/design.md lists them.
  * No clock but the events', no randomness but the seed's, nothing shared with other nodes.
  */
 public final class Rules implements Contract.Events {
@@ -53,8 +52,7 @@
     /** Part of a prefix's tokens below which it was not kept, and the least gap of drops for it (us). */
     private static final double FEW_KEPT = 0.5;
     private static final long MISS_GAP = 1_000_000;
-    /** What the newest answer counts in the part of tokens found kept: some twenty answers tell of a
-     * release. */
+    /** Weight of the newest answer in the part of tokens found kept: twenty answers tell of a release. */
     private static final double KEPT_WEIGHT = 0.05;
     /** Period of the node's one timer (us): finer than any time-out it serves. */
     private static final long SWEEP = 50_000;
@@ -99,6 +97,8 @@
     private static final double SHED_UP = 0.1;
     private static final double SHED_DOWN = 0.05;
     private static final double SHED_MOST = 0.8;
+    /** A node that has sent nothing for so long (us) refuses nothing: answers alone tell of the end. */
+    private static final long SHED_LONGEST = 2_000_000;
 
     // ---- State ------------------------------------------------------------------------------------------
     static final long NEVER = Long.MIN_VALUE;
@@ -955,7 +955,7 @@
         int k = 2 * r.cls() + (overShare(r.tenant()) ? 1 : 0);
         arrivals[k]++;
         // The rest of a stream that broke or was moved has cost most of its work already.
-        return r.again() || shedPart[k] <= 0 || random() >= shedPart[k];
+        return r.again() || shedPart[k] <= 0 || now - sentAt >= SHED_LONGEST || random() >= shedPart[k];
     }
 
     /** Beyond its allowance a tenant's work is worth little; each node counts its part of the allowance. */
--- a/src/test/java/magpiehub/core/OverloadControlTest.java
+++ b/src/test/java/magpiehub/core/OverloadControlTest.java
@@ -43,7 +43,7 @@
         return b;
     }
 
-    /** Once little comes, and of one class only, control lets it through: not one router in ten turns away
+    /** Once little comes, and of one class only, control lets some of it through: no router turns away
      *  all of fifteen requests within 4 s, and after 10 s nothing is refused any more. */
     @Test
     void aRouterWithLittleTrafficLeavesOverloadControl() {
@@ -74,7 +74,7 @@
             turnedAllAway += all ? 1 : 0;
             assertEquals(0, late, "seed " + seed + ": refused 10 s after the overload");
         }
-        assertTrue(turnedAllAway <= routers / 10, turnedAllAway + " of " + routers + " routers");
+        assertEquals(0, turnedAllAway, "routers of " + routers + " that turned all away");
     }
 
     /** Under overload the refusals of one class fall on conversations as chance has it: those of which all
