--- a/src/main/java/magpiehub/net/EngineEvent.java
+++ b/src/main/java/magpiehub/net/EngineEvent.java
@@ -5,8 +5,8 @@
 import magpiehub.config.Config;
 
 /**
- * What one event of an engine's stream tells the router: an error, the tokens found in the engine's cache, the
- * end. An event is the bytes between two empty lines, and passes on to the client as it came.
+ * What one event of an engine's stream tells the router: an error, the tokens found in the engine's cache, or
+ * the end. An event is the bytes between two empty lines, and passes on to the client as it came.
  */
 final class EngineEvent {
     /** The most of an event that is logged (bytes). */
--- a/src/test/java/magpiehub/net/EnginesTest.java
+++ b/src/test/java/magpiehub/net/EnginesTest.java
@@ -115,8 +115,8 @@
             assertTrue(in.await());
             in.body(in.head(true));
             String event = "data: {\"choices\":[]}\n\n";
-            s.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" + last).getBytes());
+            s.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" + last).getBytes());
         }
     }
 
