--- a/src/test/java/magpiehub/net/EnginesTest.java
+++ b/src/test/java/magpiehub/net/EnginesTest.java
@@ -116,7 +116,8 @@
             in.body(in.head(true));
             String event = "data: {\"choices\":[]}\n\n";
             s.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\n"
-                    + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" + last).getBytes());
+                    + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(event.length()) + "\r\n"
+                    + event + "\r\n" + last).getBytes());
         }
     }
 
