--- /dev/null
+++ b/src/test/java/magpiehub/EventDelayTest.java
@@ -0,0 +1,176 @@
+package magpiehub;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAccumulator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import org.junit.rules.Timeout;
+
+/**
+ * How long events take through a router that runs for a quarter of the time only, as on a share of a core:
+ * many streams of one engine, beside a client that reads nothing of a large one.
+ */
+public class EventDelayTest {
+    private static final int STREAMS = 16;
+    private static final int EVENTS = 30;
+    private static final long EVENT_GAP_MS = 100;
+    private static final long MOST_DELAY_NANOS = 300_000_000;
+    private static final int LARGE_EVENT = 32 * 1024;
+    private static final int SMALL_BUFFER = 4 * 1024;
+    /** Stops a process for three quarters of each tenth of a second. */
+    private static final String QUARTER_OF_A_CORE =
+            "while kill -STOP $0; do sleep 0.075; kill -CONT $0; sleep 0.025; done";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final Pattern WRITTEN_AT = Pattern.compile("\"content\":\"(\\d+)\"");
+
+    @Rule
+    public final Timeout patience = Timeout.seconds(120);
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final LongAccumulator longestDelay = new LongAccumulator(Math::max, 0);
+    /** How late this machine wakes a thread of the test itself, as it does the router's. */
+    private final LongAccumulator longestOversleep = new LongAccumulator(Math::max, 0);
+    private final AtomicBoolean over = new AtomicBoolean();
+
+    @Test
+    public void eventsArePassedOnInTimeOnAQuarterOfACore() throws Exception {
+        try (RouterProcess router = new RouterProcess(folder.newFile().toPath())) {
+            router.start();
+            try (Socket watch = router.watched()) {
+                int port = router.port();
+                threads.execute(() -> serve(router));
+                try (Socket unread = ask(port, "large")) {
+                    List<BufferedReader> answers = new ArrayList<>();
+                    for (int i = 0; i < STREAMS; i++) {
+                        BufferedReader answer = ServeTest.reader(ask(port, "stream" + i));
+                        ServeTest.until(answer, "200 OK");
+                        answers.add(answer);
+                    }
+                    Process throttle = new ProcessBuilder("sh", "-c", QUARTER_OF_A_CORE,
+                            Long.toString(router.process().pid())).start();
+                    try {
+                        threads.execute(this::oversleep);
+                        assertEquals(EVENTS * STREAMS, eventsOf(answers));
+                    } finally {
+                        over.set(true);
+                        throttle.destroyForcibly();
+                    }
+                }
+            }
+        }
+        long most = MOST_DELAY_NANOS + longestOversleep.get();
+        assertTrue("an event took " + longestDelay.get() / 1_000_000 + " ms, "
+                + longestOversleep.get() / 1_000_000 + " ms of lateness of the machine's own",
+                longestDelay.get() <= most);
+    }
+
+    private int eventsOf(List<BufferedReader> answers) throws Exception {
+        List<Future<Integer>> counts = new ArrayList<>();
+        for (BufferedReader answer : answers) {
+            counts.add(threads.submit(() -> eventsOf(answer)));
+        }
+        int events = 0;
+        for (Future<Integer> count : counts) {
+            events += count.get();
+        }
+        return events;
+    }
+
+    /** Reads a stream to its last chunk; returns how many events it had. */
+    private int eventsOf(BufferedReader answer) throws IOException {
+        int events = 0;
+        for (String line = answer.readLine(); line != null && !line.equals("0"); line = answer.readLine()) {
+            Matcher written = WRITTEN_AT.matcher(line);
+            if (written.find()) {
+                longestDelay.accumulate(System.nanoTime() - Long.parseLong(written.group(1)));
+                events++;
+            }
+        }
+        return events;
+    }
+
+    private void oversleep() {
+        try {
+            while (!over.get()) {
+                long until = System.nanoTime() + 10_000_000;
+                Thread.sleep(10);
+                longestOversleep.accumulate(System.nanoTime() - until);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Socket ask(int port, String id) throws IOException {
+        Socket client = new Socket();
+        client.setReceiveBufferSize(SMALL_BUFFER);
+        client.connect(new InetSocketAddress(RouterProcess.LOOPBACK, port));
+        ServeTest.say(client, "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: " + id
+                + "\r\nX-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}");
+        return client;
+    }
+
+    // ---- The engine -----------------------------------------------------------------------------------
+    private void serve(RouterProcess router) {
+        try {
+            while (true) {
+                Socket connection = router.engine.accept();
+                threads.execute(() -> answer(connection));
+            }
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
+    private static void answer(Socket connection) {
+        try (connection) {
+            connection.setTcpNoDelay(true);
+            BufferedReader request = ServeTest.reader(connection);
+            String id = RouterProcess.request(request);
+            ServeTest.say(connection, HEAD);
+            if (id.equals("large")) {
+                String filling = "x".repeat(LARGE_EVENT);
+                while (true) {
+                    event(connection, filling);
+                }
+            }
+            for (int i = 0; i < EVENTS; i++) {
+                event(connection, Long.toString(System.nanoTime()));
+                Thread.sleep(EVENT_GAP_MS);
+            }
+            ServeTest.say(connection, "0\r\n\r\n");
+        } catch (IOException e) {
+            // The router has ended it: the large stream, once the test is over.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void event(Socket connection, String content) throws IOException {
+        byte[] event = ("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content
+                + "\"},\"finish_reason\":null}]}\n\n").getBytes(StandardCharsets.UTF_8);
+        ServeTest.say(connection, Integer.toHexString(event.length) + "\r\n"
+                + new String(event, StandardCharsets.UTF_8) + "\r\n");
+    }
+}
--- /dev/null
+++ b/src/test/java/magpiehub/RouterProcess.java
@@ -0,0 +1,124 @@
+package magpiehub;
+
+import java.io.BufferedReader;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * A router as a process of its own, with one engine and one discovery whose sockets the test holds. It is
+ * configured before it is started, and killed when it is closed.
+ */
+final class RouterProcess implements AutoCloseable {
+    /** The command that starts a router from the classes under test. */
+    static final List<String> COMMAND = List.of(
+            ProcessHandle.current().info().command().orElse("java"), "-cp",
+            System.getProperty("java.class.path"), "magpiehub.Main", "serve");
+    static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int PATIENCE_MS = 30_000;
+    private static final int BACKLOG = 64;
+    private static final String ID = "X-Call-Id: ";
+    private static final String LENGTH = "Content-Length: ";
+
+    final ServerSocket engine;
+    final ServerSocket discovery;
+    final Path config;
+    private Process process;
+    private BufferedReader log;
+
+    /** A router that has not been started; its configuration is written to the file. */
+    RouterProcess(Path config) throws IOException {
+        this.config = config;
+        engine = listen();
+        discovery = listen();
+        ServeTest.write(config, discovery, engine);
+    }
+
+    /** A socket of the test's own whose calls end after a while. */
+    static ServerSocket listen() throws IOException {
+        ServerSocket server = new ServerSocket(0, BACKLOG, LOOPBACK);
+        server.setSoTimeout(PATIENCE_MS);
+        return server;
+    }
+
+    /** Reads one request as an engine does, head and body; returns its id. */
+    static String request(BufferedReader from) throws IOException {
+        String id = "";
+        int length = 0;
+        for (String line = from.readLine(); line == null || !line.isEmpty(); line = from.readLine()) {
+            if (line == null) {
+                throw new EOFException("the connection ended in a request");
+            }
+            id = line.startsWith(ID) ? line.substring(ID.length()) : id;
+            length = line.startsWith(LENGTH) ? Integer.parseInt(line.substring(LENGTH.length())) : length;
+        }
+        for (int i = 0; i < length; i++) {
+            from.read();
+        }
+        return id;
+    }
+
+    /** The configuration as it stands. */
+    String configuration() throws IOException {
+        return Files.readString(config);
+    }
+
+    /** Replaces a part of the configuration. */
+    void configure(String part, String replacement) throws IOException {
+        Files.writeString(config, configuration().replace(part, replacement));
+    }
+
+    void start() throws IOException {
+        start(COMMAND);
+    }
+
+    /** Starts it by a command; discovery is named by the variable too, as the platform does. */
+    void start(List<String> command) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(command);
+        b.environment().put("ROUTER_CONFIG", config.toString());
+        b.environment().keySet().removeAll(List.of("ROUTER_LISTEN", "ROUTER_NAME"));
+        b.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.getLocalPort());
+        process = b.redirectErrorStream(true).start();
+        log = process.inputReader();
+    }
+
+    Process process() {
+        return process;
+    }
+
+    /** The first line of its log with a part. */
+    String logged(String part) throws IOException {
+        return ServeTest.until(log, part);
+    }
+
+    /** Takes its watch of the list and answers it with a heartbeat. */
+    Socket watched() throws IOException {
+        Socket watch = discovery.accept();
+        ServeTest.say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        return watch;
+    }
+
+    /** Waits for its start; returns the port that it serves at. */
+    int port() throws IOException {
+        return Integer.parseInt(logged(" started ").replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
+    }
+
+    void hangUp() throws Exception {
+        ServeTest.hangUp(process);
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (process != null) {
+            process.destroyForcibly();
+            log.close();
+        }
+        engine.close();
+        discovery.close();
+    }
+}
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -6,7 +6,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -62,62 +61,31 @@
                 + engine.getLocalPort() + "\",\"phase\":\"Ready\"}]}}");
     }
 
-    private static final List<String> SERVE = List.of(ProcessHandle.current().info().command().orElse("java"),
-            "-cp", System.getProperty("java.class.path"), "magpiehub.Main", "serve");
-
-    private static Process start(Path config, ServerSocket discovery) throws IOException {
-        return start(config, discovery, SERVE);
-    }
-
-    /** Discovery is named by the variable too, as the platform does. */
-    private static Process start(Path config, ServerSocket discovery, List<String> command)
-            throws IOException {
-        ProcessBuilder b = new ProcessBuilder(command);
-        b.environment().put("ROUTER_CONFIG", config.toString());
-        b.environment().keySet().removeAll(List.of("ROUTER_LISTEN", "ROUTER_NAME"));
-        b.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.getLocalPort());
-        return b.redirectErrorStream(true).start();
-    }
-
-    /** Answers the watch with a heartbeat; returns the port that the process serves at. */
-    private static int started(BufferedReader log, Socket watch) throws IOException {
-        say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
-        String started = until(log, " started ");
-        return Integer.parseInt(started.replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
-    }
-
     public static void hangUp(Process p) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor());
     }
 
+    private RouterProcess router() throws IOException {
+        return new RouterProcess(folder.newFile().toPath());
+    }
+
     @Test
     public void aNewFileIsTakenOnSighupAndABadOneChangesNothing() throws Exception {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
-                ServerSocket first = new ServerSocket(0, 8, loopback);
-                ServerSocket second = new ServerSocket(0, 8, loopback)) {
-            first.setSoTimeout(30_000);
-            second.setSoTimeout(30_000);
-            Path config = folder.newFile().toPath();
-            write(config, first, engine);
-            Process p = start(config, first);
-            try (BufferedReader log = p.inputReader(); Socket watch = first.accept()) {
-                say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
-                until(log, " started ");
-                Files.writeString(config, "{\"name\":");
-                hangUp(p);
-                until(log, " reload-failed ");
-                write(config, second, engine);
-                Files.writeString(config, Files.readString(config)
-                        .replace("\"connectTimeoutMs\":250", "\"connectTimeoutMs\":300"));
-                hangUp(p);
+        try (RouterProcess router = router(); ServerSocket second = RouterProcess.listen()) {
+            router.start();
+            try (Socket watch = router.watched()) {
+                router.logged(" started ");
+                Files.writeString(router.config, "{\"name\":");
+                router.hangUp();
+                router.logged(" reload-failed ");
+                write(router.config, second, router.engine);
+                router.configure("\"connectTimeoutMs\":250", "\"connectTimeoutMs\":300");
+                router.hangUp();
                 try (Socket moved = second.accept()) {
                     assertTrue(until(reader(moved), "GET ").contains("/discovery/hosts?follow=1 "));
-                    assertTrue(until(log, " reloaded ").contains("changed=\"settings.limits\" needs"));
+                    assertTrue(router.logged(" reloaded ").contains("changed=\"settings.limits\" needs"));
                 }
-                assertTrue(p.isAlive());
-            } finally {
-                p.destroyForcibly();
+                assertTrue(router.process().isAlive());
             }
         }
     }
@@ -126,33 +94,27 @@
      * nothing. */
     @Test
     public void newSettingsHoldAtOnceAndABadFileChangesNothing() throws Exception {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
-                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
-            engine.setSoTimeout(30_000);
-            discovery.setSoTimeout(30_000);
-            Path config = folder.newFile().toPath();
-            write(config, discovery, engine);
-            String old = Files.readString(config);
+        try (RouterProcess router = router()) {
+            String old = router.configuration();
             String fresh = old.replace("\"name\":\"chat\"", "\"name\":\"talk\"");
-            Process p = start(config, discovery);
-            try (BufferedReader log = p.inputReader(); Socket watch = discovery.accept()) {
-                int port = started(log, watch);
-                try (Socket before = new Socket(loopback, port); Socket after = new Socket(loopback, port)) {
+            router.start();
+            try (Socket watch = router.watched()) {
+                int port = router.port();
+                try (Socket before = connect(port); Socket after = connect(port)) {
                     say(before, ASK);
-                    try (Socket at = engine.accept()) {
+                    try (Socket at = router.engine.accept()) {
                         until(reader(at), "X-Budget-Ms");
-                        Files.writeString(config, fresh);
-                        hangUp(p);
-                        assertTrue(until(log, " reloaded ").contains("changed=\"settings.classes\""));
+                        Files.writeString(router.config, fresh);
+                        router.hangUp();
+                        assertTrue(router.logged(" reloaded ").contains("changed=\"settings.classes\""));
                         for (String bad : List.of("", old.substring(0, old.length() - 1),
                                 old.replace("\"mostTries\":3,", ""), old.replace("\"aimMs\":1000,", ""),
                                 old.replace("\"mostTries\":3", "\"mostTries\":0"),
                                 old.replace("\"deadlineMs\":4000", "\"deadlineMs\":\"soon\""),
                                 old.replace("\"deadlineMs\":4000", "\"deadlineMs\":-1"))) {
-                            Files.writeString(config, bad);
-                            hangUp(p);
-                            until(log, " reload-failed ");
+                            Files.writeString(router.config, bad);
+                            router.hangUp();
+                            router.logged(" reload-failed ");
                         }
                         // Under way since before: it has its class still.
                         say(at, "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -163,73 +125,58 @@
                     say(after, ASK.replace("Call-Id: 1", "Call-Id: 2"));
                     assertEquals("the class has vanished", "HTTP/1.1 400 Bad Request", answer.readLine());
                 }
-                try (Socket client = new Socket(loopback, port)) {
+                try (Socket client = connect(port)) {
                     say(client, ASK.replace("Call-Id: 1", "Call-Id: 3")
                             .replace("Class: chat", "Class: talk"));
-                    try (Socket at = engine.accept()) {
+                    try (Socket at = router.engine.accept()) {
                         until(reader(at), "X-Call-Id: 3");
                     }
                 }
-            } finally {
-                p.destroyForcibly();
             }
         }
     }
 
+    private static Socket connect(int port) throws IOException {
+        return new Socket(RouterProcess.LOOPBACK, port);
+    }
+
     /** As from nohup: nobody can send it new settings, and whoever looks after it is to know. */
     @Test
     public void aStartThatIgnoresHangupsSaysSo() throws Exception {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
-                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
-            Path config = folder.newFile().toPath();
-            write(config, discovery, engine);
-            List<String> ignoring = new ArrayList<>(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
-            ignoring.addAll(SERVE);
-            Process p = start(config, discovery, ignoring);
-            try (BufferedReader log = p.inputReader()) {
-                until(log, " reload-impossible ");
-                hangUp(p);
-                until(log, " started ");
-            } finally {
-                p.destroyForcibly();
-            }
+        List<String> ignoring = new ArrayList<>(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        ignoring.addAll(RouterProcess.COMMAND);
+        try (RouterProcess router = router()) {
+            router.start(ignoring);
+            router.logged(" reload-impossible ");
+            router.hangUp();
+            router.logged(" started ");
         }
     }
 
     /** Before that, a request would wait in the socket and its deadline be counted from too late. */
     @Test
     public void aRouterListensOnlyOnceItCanRead() throws Exception {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
-                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
-            int port;
-            try (ServerSocket free = new ServerSocket(0, 8, loopback)) {
-                port = free.getLocalPort();
-            }
-            Path config = folder.newFile().toPath();
-            write(config, discovery, engine);
-            Files.writeString(config, Files.readString(config)
-                    .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\""));
+        int port;
+        try (ServerSocket free = RouterProcess.listen()) {
+            port = free.getLocalPort();
+        }
+        try (RouterProcess router = router()) {
+            router.configure("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
             long begun = System.nanoTime();
-            Process p = start(config, discovery);
-            try (BufferedReader log = p.inputReader()) {
-                long listens = listens(loopback, port, p);
-                until(log, " started ");
-                long started = System.nanoTime();
-                assertTrue("listens at " + (listens - begun) / 1_000_000 + " ms of "
-                        + (started - begun) / 1_000_000,
-                        started - listens < (started - begun) / 5);
-            } finally {
-                p.destroyForcibly();
-            }
+            router.start();
+            long listens = listens(port, router.process());
+            router.logged(" started ");
+            long started = System.nanoTime();
+            assertTrue("listens at " + (listens - begun) / 1_000_000 + " ms of "
+                    + (started - begun) / 1_000_000,
+                    started - listens < (started - begun) / 5);
         }
     }
 
     /** When a connection first came up. */
-    private static long listens(InetAddress at, int port, Process p) throws Exception {
+    private static long listens(int port, Process p) throws Exception {
         while (p.isAlive()) {
-            try (Socket s = new Socket(at, port)) {
+            try (Socket s = connect(port)) {
                 return System.nanoTime();
             } catch (java.net.ConnectException e) {
                 Thread.sleep(5); // Refused: looks again until the process ends.
@@ -241,20 +188,11 @@
     /** The first class is what a start rehearses with: no name of one may end it. */
     @Test
     public void aSiteWhoseNamesAreNotAsciiStarts() throws Exception {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
         for (String name : List.of("résumé", "圖書館", " chat", "a\\tb")) {
-            try (ServerSocket engine = new ServerSocket(0, 8, loopback);
-                    ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
-                Path config = folder.newFile().toPath();
-                write(config, discovery, engine);
-                Files.writeString(config, Files.readString(config)
-                        .replace("\"name\":\"chat\"", "\"name\":\"" + name + "\""));
-                Process p = start(config, discovery);
-                try (BufferedReader log = p.inputReader()) {
-                    until(log, " started ");
-                } finally {
-                    p.destroyForcibly();
-                }
+            try (RouterProcess router = router()) {
+                router.configure("\"name\":\"chat\"", "\"name\":\"" + name + "\"");
+                router.start();
+                router.logged(" started ");
             }
         }
     }
@@ -286,29 +224,23 @@
 
     /** One request that has begun when SIGTERM comes; returns the counters at the end. */
     private String atSigterm(boolean served) throws Exception {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
-                ServerSocket discovery = new ServerSocket(0, 8, loopback)) {
-            engine.setSoTimeout(30_000);
-            discovery.setSoTimeout(30_000);
-            Path config = folder.newFile().toPath();
-            write(config, discovery, engine);
-            Process p = start(config, discovery);
-            try (BufferedReader log = p.inputReader(); Socket watch = discovery.accept()) {
-                int port = started(log, watch);
-                try (Socket client = new Socket(loopback, port)) {
+        try (RouterProcess router = router()) {
+            router.start();
+            try (Socket watch = router.watched()) {
+                int port = router.port();
+                try (Socket client = connect(port)) {
                     say(client, ASK);
-                    try (Socket at = engine.accept()) {
+                    try (Socket at = router.engine.accept()) {
                         until(reader(at), "X-Budget-Ms");
-                        try (Socket kept = new Socket(loopback, port)) {
+                        try (Socket kept = connect(port)) {
                             say(kept, "GET /up HTTP/1.1\r\n\r\n");
                             BufferedReader answers = reader(kept);
                             until(answers, "up");
-                            p.toHandle().destroy();
-                            until(log, " stopping ");
+                            router.process().toHandle().destroy();
+                            router.logged(" stopping ");
                             // Clients use what stays open: a request there is taken, not left without a word.
                             say(kept, ASK.replace("Id: 1", "Id: 2"));
-                            try (Socket other = engine.accept()) {
+                            try (Socket other = router.engine.accept()) {
                                 until(reader(other), "X-Budget-Ms");
                                 say(other, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                                         + "9\r\ndata: y\n\n\r\n0\r\n\r\n");
@@ -331,12 +263,10 @@
                                 answer.lines().filter(l -> l.equals("0")).count());
                     }
                 }
-                String counters = until(log, " counters ");
-                assertTrue(until(log, " stopped ").contains("held=\"0\""));
-                assertTrue(p.waitFor(30, TimeUnit.SECONDS));
+                String counters = router.logged(" counters ");
+                assertTrue(router.logged(" stopped ").contains("held=\"0\""));
+                assertTrue(router.process().waitFor(30, TimeUnit.SECONDS));
                 return counters;
-            } finally {
-                p.destroyForcibly();
             }
         }
     }
