--- a/src/main/java/magpiehub/registry/Discovery.java
+++ b/src/main/java/magpiehub/registry/Discovery.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import magpiehub.config.Config;
 import magpiehub.core.Contract.ListKind;
@@ -82,6 +83,7 @@
     private final View view = new View();
     private final Told told = new Told();
     private final Watches watches;
+    private final Executor readers;
     private ModuleActor module;
     private Call fetch;
     /** Whose numbers the view's position is one of. */
@@ -93,6 +95,13 @@
     /** An actor for discovery at an address. */
     public Discovery(String address, Supplier<Config.Site> site, Engines engines, Mailbox.Clock clock,
             ModuleActor.Journal journal, long seed) {
+        this(address, site, engines, clock, journal, seed,
+                read -> Mailbox.thread("discovery-reader", read).start());
+    }
+
+    /** The same with what begins to read each call's answer on a thread, or fails to have one. */
+    Discovery(String address, Supplier<Config.Site> site, Engines engines, Mailbox.Clock clock,
+            ModuleActor.Journal journal, long seed, Executor readers) {
         this.watches = new Watches(address, new Carrier(), seed);
         this.toldBy = address;
         this.site = site;
@@ -101,6 +110,7 @@
         this.clock = clock;
         this.journal = journal;
         this.mailbox = new Mailbox<>(clock, MAILBOX_BYTES);
+        this.readers = readers;
     }
 
     @Override
@@ -264,7 +274,12 @@
         String target = "/discovery/hosts" + (!c.watch ? ""
                 : "?follow=1" + (view.position().number() >= 0
                         && toldBy.equals(c.address) ? "&since=" + view.position().number() : ""));
-        Mailbox.thread("discovery-reader", () -> read(c, target)).start();
+        try {
+            readers.execute(() -> read(c, target));
+        } catch (OutOfMemoryError e) {
+            // No thread is left. A failed call is followed by another in time, one unheard of is not.
+            mailbox.post(new Ended(c, e.toString(), false));
+        }
     }
 
     private void heard(Heard h, long now) {
--- /dev/null
+++ b/src/test/java/magpiehub/registry/DiscoveryTest.java
@@ -0,0 +1,58 @@
+package magpiehub.registry;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
+import magpiehub.config.Config;
+import magpiehub.core.Mailbox;
+import magpiehub.core.ModuleActor;
+import magpiehub.net.Engines;
+import magpiehub.ops.Log;
+import magpiehub.stream.Allowances;
+import magpiehub.stream.Streams;
+import org.junit.Test;
+
+/** The platform's discovery where the process itself is short of something. */
+public class DiscoveryTest {
+    /** The module asks for another watch up to 0.95 s after one has failed, and 5 s after one unheard of. */
+    private static final int ASKED_AGAIN_MS = 4_000;
+
+    /** A call that finds no thread to be read on has failed like any other: the next one begins in time. */
+    @Test
+    public void aCallThatFindsNoThreadIsFollowedByAnother() throws Exception {
+        Config.Site site = Config.site(Config.facts(
+                Files.readAllBytes(Path.of("src/test/resources/site.json")), "settings"));
+        Log log = new Log(System.err, "test", 1);
+        Mailbox.Clock clock = Mailbox.Clock.SYSTEM;
+        AtomicInteger calls = new AtomicInteger();
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout(ASKED_AGAIN_MS);
+            Engines engines = new Engines(site, 8, clock, log, new Mailbox.Crew(), new Streams(
+                    Allowances.none(site.settings().classes(), 64 << 20), site, clock, log));
+            Discovery discovery = new Discovery("127.0.0.1:" + server.getLocalPort(), () -> site, engines,
+                    clock, log, 7, read -> {
+                        if (calls.incrementAndGet() == 1) {
+                            throw new OutOfMemoryError("unable to create native thread");
+                        }
+                        Mailbox.thread("reader", read).start();
+                    });
+            ModuleActor module = new ModuleActor(site.settings(), 7, clock, engines, discovery, log);
+            engines.module(module);
+            discovery.start(module, null);
+            Thread thread = Mailbox.thread("module", module::run);
+            thread.start();
+            try (Socket second = server.accept()) {
+                assertEquals(2, calls.get());
+                assertTrue(log.counters(), log.counters().contains("discovery_failures 1\n"));
+            } finally {
+                thread.interrupt();
+            }
+        }
+    }
+}
