Let tests of processes share the threads that play engines

EventDelayTest and FloodTest each had a pool of threads and a loop that accepts an engine's connections; RouterProcess has them now.

--- a/src/test/java/magpiehub/EventDelayTest.java
+++ b/src/test/java/magpiehub/EventDelayTest.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAccumulator;
@@ -49,11 +48,6 @@
     public final Timeout patience = Timeout.seconds(120);
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
-    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
-        Thread thread = new Thread(work);
-        thread.setDaemon(true);
-        return thread;
-    });
     private final LongAccumulator longestDelay = new LongAccumulator(Math::max, 0);
     /** How late this machine wakes a thread of the test itself, as it does the router's. */
     private final LongAccumulator longestOversleep = new LongAccumulator(Math::max, 0);
@@ -65,7 +59,7 @@
             router.start();
             try (Socket watch = router.watched()) {
                 int port = router.port();
-                threads.execute(() -> serve(router));
+                router.serve(EventDelayTest::answer);
                 try (Socket unread = ask(port, "large")) {
                     List<BufferedReader> answers = new ArrayList<>();
                     for (int i = 0; i < STREAMS; i++) {
@@ -76,9 +70,9 @@
                     Process throttle = new ProcessBuilder("perl", "-e", QUARTER_OF_A_CORE,
                             Long.toString(router.process().pid())).start();
                     try {
-                        threads.execute(this::oversleep);
-                        threads.execute(() -> stops(throttle));
-                        assertEquals(EVENTS * STREAMS, eventsOf(answers));
+                        router.threads.execute(this::oversleep);
+                        router.threads.execute(() -> stops(throttle));
+                        assertEquals(EVENTS * STREAMS, eventsOf(answers, router.threads));
                     } finally {
                         over.set(true);
                         throttle.destroyForcibly();
@@ -92,7 +86,7 @@
                 longestDelay.get() <= most);
     }
 
-    private int eventsOf(List<BufferedReader> answers) throws Exception {
+    private int eventsOf(List<BufferedReader> answers, ExecutorService threads) throws Exception {
         List<Future<Integer>> counts = new ArrayList<>();
         for (BufferedReader answer : answers) {
             counts.add(threads.submit(() -> eventsOf(answer)));
@@ -145,17 +139,6 @@
     }
 
     // ---- The engine -----------------------------------------------------------------------------------
-    private void serve(RouterProcess router) {
-        try {
-            while (true) {
-                Socket connection = router.engine.accept();
-                threads.execute(() -> answer(connection));
-            }
-        } catch (IOException e) {
-            // The test is over.
-        }
-    }
-
     private static void answer(Socket connection) {
         try (connection) {
             connection.setTcpNoDelay(true);
--- a/src/test/java/magpiehub/FloodTest.java
+++ b/src/test/java/magpiehub/FloodTest.java
@@ -12,8 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.LongAccumulator;
 import org.junit.Rule;
@@ -47,11 +45,6 @@
     public final Timeout patience = Timeout.seconds(120);
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
-    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
-        Thread thread = new Thread(work);
-        thread.setDaemon(true);
-        return thread;
-    });
     /** When the client of each request closed its connection (ns). */
     private final Map<String, Long> closedAt = new ConcurrentHashMap<>();
     /** When each request reached the engine (ns). */
@@ -66,11 +59,11 @@
             router.start();
             try (Socket watch = router.watched()) {
                 int port = router.port();
-                threads.execute(() -> serve(router));
+                router.serve(this::answer);
                 List<Future<?>> floods = new ArrayList<>();
                 for (int i = 0; i < CLIENTS; i++) {
                     String name = "flood" + i;
-                    floods.add(threads.submit(() -> flood(port, name)));
+                    floods.add(router.threads.submit(() -> flood(port, name)));
                 }
                 for (Future<?> flood : floods) {
                     flood.get();
@@ -98,7 +91,7 @@
                 router.start();
                 try (Socket watch = router.watched()) {
                     int port = router.port();
-                    Future<?> engine = threads.submit(() -> pour(router, endless));
+                    Future<?> engine = router.threads.submit(() -> pour(router, endless));
                     String answer = answerTo(port, "spoilt", "3000");
                     assertFalse(endless.first + answer, answer.contains(" 200 "));
                     router.engine.close();
@@ -150,17 +143,6 @@
     }
 
     // ---- The engine -----------------------------------------------------------------------------------
-    private void serve(RouterProcess router) {
-        try {
-            while (true) {
-                Socket connection = router.engine.accept();
-                threads.execute(() -> answer(connection));
-            }
-        } catch (IOException e) {
-            // The test is over.
-        }
-    }
-
     private void answer(Socket connection) {
         try (connection; BufferedReader requests = ServeTest.reader(connection)) {
             while (true) {
--- a/src/test/java/magpiehub/RouterProcess.java
+++ b/src/test/java/magpiehub/RouterProcess.java
@@ -9,6 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
 
 /**
  * A router as a process of its own, with one engine and one discovery whose sockets the test holds. It is
@@ -30,6 +33,12 @@
     final ServerSocket engine;
     final ServerSocket discovery;
     final Path config;
+    /** For what the test does beside the router; ended with it. */
+    final ExecutorService threads = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        return thread;
+    });
     private Process process;
     private BufferedReader log;
 
@@ -110,6 +119,20 @@
         return Integer.parseInt(logged(" started ").replaceAll(".*listen=\"127.0.0.1:(\\d+)\".*", "$1"));
     }
 
+    /** Lets the engine answer each connection on a thread of its own, for as long as its socket is open. */
+    void serve(Consumer<Socket> answer) {
+        threads.execute(() -> {
+            try {
+                while (true) {
+                    Socket connection = engine.accept();
+                    threads.execute(() -> answer.accept(connection));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+    }
+
     void hangUp() throws Exception {
         ServeTest.hangUp(process);
     }
@@ -122,5 +145,6 @@
         }
         engine.close();
         discovery.close();
+        threads.shutdownNow();
     }
 }
