--- a/src/test/java/magpiehub/KnownRedTest.java
+++ b/src/test/java/magpiehub/KnownRedTest.java
@@ -98,7 +98,8 @@
                 1,
                 run(
                         "judge",
-                        "a.ATest#bad; make test, no seed; seen; 1\na.ATest#each[two.txt]; make test, no seed; seen; 1\na.ATest#every; make test, no seed; seen; 1\n"));
+                        "a.ATest#bad; make test, no seed; seen; 1\na.ATest#each[two.txt]; make test, no seed; seen; 1\n"
+                                + "a.ATest#every; make test, no seed; seen; 1\n"));
     }
 
     @Test
