Log the restored list, and how long each call to discovery was open and how far it came

The incident's logs could not say what a restarted router served with, nor why a first list came late: 'list-restored' names the saved list's revision, 'list' and 'discovery-failed' say how long the call was open, the latter also whether it was connected and had delivered anything.

--- a/src/main/java/magpiehub/discovery/platform/PlatformCall.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformCall.java
@@ -9,12 +9,17 @@
     final boolean watch;
     /** Connected and read by the call's own thread; closed by any. */
     final Socket socket = new Socket();
+    /** When the call was opened, on the monotonic clock. */
+    final long openedAtMicros;
     /** Whether the call has delivered nothing yet. Used by the actor's thread alone. */
     boolean awaitsFirstData = true;
+    /** Whether discovery has accepted the connection. Set by the call's own thread, read by any. */
+    volatile boolean connected;
 
-    PlatformCall(boolean watch, String address) {
+    PlatformCall(boolean watch, String address, long openedAtMicros) {
         super(address);
         this.watch = watch;
+        this.openedAtMicros = openedAtMicros;
     }
 
     /** Ends the call. Any thread. */
--- a/src/main/java/magpiehub/discovery/platform/PlatformCallReader.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformCallReader.java
@@ -67,6 +67,7 @@
     private HttpReader send(PlatformCall call, Socket socket, String target) throws IOException {
         socket.setTcpNoDelay(true);
         socket.connect(HostPort.toSocketAddress(call.address), CONNECT_TIMEOUT_MILLIS);
+        call.connected = true;
         String request = "GET " + target + " HTTP/1.1\r\nHost: " + call.address + "\r\n\r\n";
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         return new HttpReader(socket.getInputStream(), clock);
--- a/src/main/java/magpiehub/discovery/platform/PlatformDiscovery.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformDiscovery.java
@@ -44,6 +44,7 @@
     private static final int MAX_LOGGED_CAUSES = 32;
 
     private static final int MAILBOX_BYTES = 8 << 20;
+    private static final long MICROS_PER_MILLI = 1000;
     private static final String LIST_TARGET = "/discovery/hosts";
 
     private final Supplier<SiteSettings> site;
@@ -230,7 +231,7 @@
     private final class WatchTransport implements WatchScheduler.Transport {
         @Override
         public PlatformCall open(String address) {
-            PlatformCall call = new PlatformCall(true, address);
+            PlatformCall call = new PlatformCall(true, address, clock.micros());
             startCall(call, watchTarget(call));
             return call;
         }
@@ -250,7 +251,7 @@
 
         @Override
         public void onFailure(WatchScheduler.Call call, String reason) {
-            reportFailure("watch", reason);
+            reportFailure((PlatformCall) call, reason);
         }
     }
 
@@ -264,7 +265,7 @@
     private void requestList(long now) {
         // One at a time: a second one would be another call in discovery's queue.
         closeListCall();
-        listCall = new PlatformCall(false, watches.address());
+        listCall = new PlatformCall(false, watches.address(), now);
         listCallFailsAtMicros = now + WatchScheduler.TIMEOUT_MICROS;
         startCall(listCall, LIST_TARGET);
     }
@@ -291,7 +292,7 @@
             watches.onData(call, now);
         }
         listAddress = call.address;
-        apply(update, call.awaitsFirstData);
+        apply(call, update);
         call.awaitsFirstData = false;
         if (!call.watch) {
             closeListCall();
@@ -328,27 +329,45 @@
     }
 
     private void onListCallFailed(String reason) {
+        PlatformCall failed = listCall;
         closeListCall();
-        reportFailure("list", reason);
+        reportFailure(failed, reason);
     }
 
-    private void reportFailure(String call, String reason) {
+    private void reportFailure(PlatformCall call, String reason) {
         answered = true;
         log.count("discovery_failures");
-        log.log("discovery-failed", "call", call, "why", reason);
+        log.log(
+                "discovery-failed",
+                "call",
+                call.watch ? "watch" : "list",
+                "why",
+                reason,
+                "connected",
+                Boolean.toString(call.connected),
+                "delivered",
+                Boolean.toString(!call.awaitsFirstData),
+                "open_ms",
+                Long.toString((clock.micros() - call.openedAtMicros) / MICROS_PER_MILLI));
         publisher.deliverError();
     }
 
     private void restore(PlatformListUpdate saved) {
         list.restore(saved.items(), saved.position());
+        log.log(
+                "list-restored",
+                "revision",
+                Long.toString(saved.revision()),
+                "entries",
+                Integer.toString(saved.entries().size()));
         publish(EndpointListKind.SAVED, list.entries());
     }
 
     /** Applies a list or a change, unless a newer one has been. */
-    private void apply(PlatformListUpdate update, boolean firstOfCall) {
+    private void apply(PlatformCall call, PlatformListUpdate update) {
         // A complete list that opens a watch is taken as it is: discovery may have begun its count anew.
         ListUpdateResult result = update.complete()
-                ? list.applyCompleteList(update.position(), null, update.items(), firstOfCall)
+                ? list.applyCompleteList(update.position(), null, update.items(), call.awaitsFirstData)
                 : list.applyChanges(update.position(), update.items());
         if (result.verdict() != ListUpdateResult.Verdict.APPLIED) {
             log.count("old_revisions");
@@ -366,7 +385,9 @@
                 "complete",
                 Boolean.toString(update.complete()),
                 "entries",
-                Integer.toString(update.entries().size()));
+                Integer.toString(update.entries().size()),
+                "open_ms",
+                Long.toString((clock.micros() - call.openedAtMicros) / MICROS_PER_MILLI));
     }
 
     private static List<EndpointEntry> changes(ListDelta delta) {
