Send nothing by an endpoint list that discovery could have replaced for too long

Cause: the list had no bound in time. A start served with the list of its configuration until its first list came, up to 5 s later, and a running router went on with a list that discovery no longer confirmed ('no list is worse than an old one').

Change: EndpointListLease, a state machine beside WatchScheduler, is renewed by each message of a watch that never fell silent and stands at discovery's address, and while discovery counts as down: a connection refused or not established, or two losses in a row (end of the watch, failed call, call given up unanswered). One failed call is none: a call that queued for too long ends like one of an outage. It ends 6 s + stopSendingWithin - 0.5 s after the renewal; a saved list has none. It is checked when a replica is selected, before a health check is begun, and again right before each request is written, so that a process held up between decision and write is covered. /up is 503 without a lease; a successor on the same socket waits for one before it accepts clients.

--- a/src/main/java/magpiehub/discovery/EndpointListPublisher.java
+++ b/src/main/java/magpiehub/discovery/EndpointListPublisher.java
@@ -46,6 +46,12 @@
         dispatcher.updateEndpoints(EndpointListKind.ERROR, List.of());
     }
 
+    /** Publishes until when the list may be used, on the monotonic clock. */
+    public void deliverValidity(long validUntilMicros) {
+        upstreams.setEndpointsValidUntil(validUntilMicros);
+        dispatcher.updateEndpointListValidity(validUntilMicros);
+    }
+
     /** Publishes what changes by the operators' maintenance, if anything, and then confirms it. */
     public void applyMaintenance(MaintenanceUpdate update) {
         List<EndpointEntry> entries = overlay.applyMaintenance(update.outOfService(), update.backSinceMicros());
--- a/src/main/java/magpiehub/discovery/EndpointSource.java
+++ b/src/main/java/magpiehub/discovery/EndpointSource.java
@@ -18,6 +18,9 @@
     /** Whether a list is known: received since the start, or saved where that is enough. Any thread. */
     boolean isKnown();
 
+    /** Waits until a list is known, at most for so long. Any thread. */
+    void awaitKnown(long timeoutMillis) throws InterruptedException;
+
     /** Counters for {@code /counters}, one a line, name and value; empty where there are none. Any thread. */
     default String counterLines() {
         return "";
--- a/src/main/java/magpiehub/discovery/RegistryClient.java
+++ b/src/main/java/magpiehub/discovery/RegistryClient.java
@@ -142,6 +142,10 @@
         return tracker.isKnown();
     }
 
+    /** Returns at once: the list on disk is enough, or the first one comes when it comes. */
+    @Override
+    public void awaitKnown(long timeoutMillis) {}
+
     /** Has the list reported as unchanged: the client keeps watching by itself. */
     @Override
     public void watch() {
--- a/src/main/java/magpiehub/discovery/platform/PlatformDiscovery.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformDiscovery.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.Mailbox;
@@ -65,10 +67,16 @@
     /** The address whose revisions the list's position is one of. */
     private String listAddress;
 
-    /** Whether a list is known that is enough to serve with. */
+    private final EndpointListLease lease = new EndpointListLease();
+
+    /** Whether a list is known that names a live endpoint, or that discovery has delivered. */
     private volatile boolean known;
-    /** Whether discovery has delivered a list since the start, or has failed to. */
-    private volatile boolean answered;
+    /** Until when the list may be used; the lease's. */
+    private volatile long validUntilMicros = EndpointListLease.NEVER_VALID;
+    /** Opened when a list is known and may be used for the first time. */
+    private final CountDownLatch firstKnown = new CountDownLatch(1);
+    /** Whether the lease has run out, or never begun, and the log says so. */
+    private boolean unconfirmed = true;
 
     /** A client of the discovery at an address. */
     public PlatformDiscovery(
@@ -107,6 +115,7 @@
     @Override
     public void start(RequestDispatcher dispatcher, byte[] saved) {
         publisher.start(dispatcher);
+        publisher.deliverValidity(validUntilMicros);
         if (saved != null) {
             try (JsonParser json = Json.FACTORY.createParser(saved)) {
                 json.nextToken();
@@ -120,8 +129,15 @@
 
     @Override
     public boolean isKnown() {
-        // Where lists are pushed, what the agent has counts as received from the first moment.
-        return known && (answered || site.get().routing().subscribesToEndpoints());
+        return known && clock.micros() < validUntilMicros;
+    }
+
+    @Override
+    public void awaitKnown(long timeoutMillis) throws InterruptedException {
+        boolean inTime = firstKnown.await(timeoutMillis, TimeUnit.MILLISECONDS);
+        if (!inTime) {
+            log.log("list-not-known", "waited_ms", Long.toString(timeoutMillis));
+        }
     }
 
     @Override
@@ -201,10 +217,12 @@
         } else if (message instanceof PlatformMessage.CallEnded ended && isOpen(ended.call())) {
             onCallEnded(ended);
         }
+        publishLease(now);
     }
 
     private long nextTimerMicros() {
-        return Math.min(watches.nextTimerMicros(), listCall == null ? Long.MAX_VALUE : listCallFailsAtMicros);
+        long next = Math.min(watches.nextTimerMicros(), listCall == null ? Long.MAX_VALUE : listCallFailsAtMicros);
+        return unconfirmed ? next : Math.min(next, validUntilMicros);
     }
 
     private void onTimer(long now) {
@@ -212,6 +230,30 @@
             onListCallFailed("silent");
         }
         watches.onTimer(now);
+        publishLease(now);
+    }
+
+    /** Publishes a lease that was renewed, and logs when it has run out and when there is one again. */
+    private void publishLease(long now) {
+        long until = lease.validUntilMicros(site.get().routing().guarantees().stopSendingWithin());
+        if (until != validUntilMicros) {
+            validUntilMicros = until;
+            publisher.deliverValidity(until);
+        }
+        boolean expired = now >= until;
+        if (known && !expired) {
+            firstKnown.countDown();
+        }
+        if (expired == unconfirmed) {
+            return;
+        }
+        unconfirmed = expired;
+        if (expired) {
+            log.count("lists_unconfirmed");
+            log.log("list-unconfirmed", "discovery", watches.address());
+        } else {
+            log.log("list-confirmed", "discovery_down", Boolean.toString(lease.isDiscoveryDown()));
+        }
     }
 
     private void onAddressChanged(String to, long now) {
@@ -243,15 +285,26 @@
 
         @Override
         public void onLate(WatchScheduler.Call call, boolean established) {
-            // A discovery that does not answer is no reason to keep clients away from a list that is known.
-            answered = true;
             log.count(established ? "watches_silent" : "discovery_answers_late");
             log.log(established ? "watch-silent" : "discovery-late", "discovery", call.address);
         }
 
+        @Override
+        public void onGivenUp(WatchScheduler.Call call) {
+            recordFailure((PlatformCall) call);
+        }
+
         @Override
         public void onFailure(WatchScheduler.Call call, String reason) {
-            reportFailure((PlatformCall) call, reason);
+            PlatformCall failed = (PlatformCall) call;
+            recordFailure(failed);
+            reportFailure(failed, reason);
+        }
+
+        private void recordFailure(PlatformCall call) {
+            if (call.awaitsFirstData) {
+                lease.recordCallFailed(clock.micros(), call.connected);
+            }
         }
     }
 
@@ -292,8 +345,11 @@
             watches.onData(call, now);
         }
         listAddress = call.address;
-        apply(call, update);
+        boolean applied = apply(call, update);
         call.awaitsFirstData = false;
+        if (applied && (!call.watch || watches.isReliable(call))) {
+            lease.recordCurrent(now);
+        }
         if (!call.watch) {
             closeListCall();
         } else if (watches.lacksReliableWatch()) {
@@ -306,6 +362,9 @@
         if (call.watch) {
             watches.onData(call, now);
         }
+        if (call.watch && watches.isReliable(call)) {
+            lease.recordCurrent(now);
+        }
         log.count("discovery_beats");
         if (call.watch && call.awaitsFirstData) {
             // A heartbeat alone says that nothing has changed since the revision that the watch started from.
@@ -322,6 +381,9 @@
             }
         }
         if (ended.call().watch) {
+            if (watches.isReliable(ended.call())) {
+                lease.recordWatchLost();
+            }
             watches.onEnded(ended.call(), ended.reason());
         } else {
             onListCallFailed(ended.reason());
@@ -331,11 +393,11 @@
     private void onListCallFailed(String reason) {
         PlatformCall failed = listCall;
         closeListCall();
+        lease.recordCallFailed(clock.micros(), failed.connected);
         reportFailure(failed, reason);
     }
 
     private void reportFailure(PlatformCall call, String reason) {
-        answered = true;
         log.count("discovery_failures");
         log.log(
                 "discovery-failed",
@@ -363,15 +425,15 @@
         publish(EndpointListKind.SAVED, list.entries());
     }
 
-    /** Applies a list or a change, unless a newer one has been. */
-    private void apply(PlatformCall call, PlatformListUpdate update) {
+    /** Applies a list or a change, unless a newer one has been; returns whether it was applied. */
+    private boolean apply(PlatformCall call, PlatformListUpdate update) {
         // A complete list that opens a watch is taken as it is: discovery may have begun its count anew.
         ListUpdateResult result = update.complete()
                 ? list.applyCompleteList(update.position(), null, update.items(), call.awaitsFirstData)
                 : list.applyChanges(update.position(), update.items());
         if (result.verdict() != ListUpdateResult.Verdict.APPLIED) {
             log.count("old_revisions");
-            return;
+            return false;
         }
         if (update.complete()) {
             publish(EndpointListKind.COMPLETE, list.entries());
@@ -388,6 +450,7 @@
                 Integer.toString(update.entries().size()),
                 "open_ms",
                 Long.toString((clock.micros() - call.openedAtMicros) / MICROS_PER_MILLI));
+        return true;
     }
 
     private static List<EndpointEntry> changes(ListDelta delta) {
@@ -402,9 +465,6 @@
     }
 
     private void publish(EndpointListKind kind, List<EndpointEntry> entries) {
-        // The saved list is enough to serve with if it names a live endpoint: when all routers start together,
-        // discovery takes seconds to answer them all, and their clients would wait for it.
-        answered |= kind != EndpointListKind.SAVED;
         known |= kind != EndpointListKind.SAVED
                 || entries.stream().anyMatch(entry -> entry.endpoint().state() == EndpointState.LIVE);
         publisher.deliver(kind, entries);
--- a/src/main/java/magpiehub/discovery/platform/WatchScheduler.java
+++ b/src/main/java/magpiehub/discovery/platform/WatchScheduler.java
@@ -61,6 +61,9 @@
         /** A call has delivered nothing for too long; another one is opened beside it. */
         void onLate(Call call, boolean established);
 
+        /** A call that has waited for longer than any other is given up, without an answer. */
+        void onGivenUp(Call call);
+
         /** No call is left that may still succeed: the dispatcher is to request a watch again in its time. */
         void onFailure(Call call, String reason);
     }
@@ -121,6 +124,11 @@
         return call == established || pending.contains(call);
     }
 
+    /** Whether a call keeps the list current: it is established, at discovery's address, and never fell silent. */
+    boolean isReliable(Call call) {
+        return call == established && !call.isLate() && call.address.equals(address);
+    }
+
     /** Whether the established watch is not to be relied on, and no other one is pending. */
     boolean lacksReliableWatch() {
         return established != null
@@ -191,7 +199,9 @@
 
     private void open(long nowMicros) {
         if (pending.size() >= MAX_PENDING) {
-            transport.close(pending.removeFirst());
+            Call oldest = pending.removeFirst();
+            transport.close(oldest);
+            transport.onGivenUp(oldest);
         }
         Call call = transport.open(address);
         call.failsAtMicros = nowMicros + TIMEOUT_MICROS;
--- a/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
@@ -76,6 +76,11 @@
         eventLog.count("lists_" + kind.name().toLowerCase(Locale.ROOT));
     }
 
+    @Override
+    public void onEndpointListValidityChanged(DispatcherMessage.EndpointListValidityChanged message) {
+        policy.onEndpointListValidity(clock.nowMicros(), message.validUntilMicros());
+    }
+
     @Override
     public void onSettingsUpdated(DispatcherMessage.SettingsUpdated message) {
         requests.updateSettings(message.settings());
--- a/src/main/java/magpiehub/dispatch/DispatcherMessage.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherMessage.java
@@ -27,6 +27,8 @@
 
         void onEndpointsUpdated(EndpointsUpdated message);
 
+        void onEndpointListValidityChanged(EndpointListValidityChanged message);
+
         void onSettingsUpdated(SettingsUpdated message);
 
         void onShutdownRequested(ShutdownRequested message);
@@ -90,6 +92,14 @@
         }
     }
 
+    /** The endpoint list may be used until another time than before. */
+    record EndpointListValidityChanged(long validUntilMicros) implements DispatcherMessage {
+        @Override
+        public void deliverTo(Handler handler) {
+            handler.onEndpointListValidityChanged(this);
+        }
+    }
+
     /** The site's settings have been reloaded. */
     record SettingsUpdated(RoutingSettings settings) implements DispatcherMessage {
         @Override
--- a/src/main/java/magpiehub/dispatch/RequestDispatcher.java
+++ b/src/main/java/magpiehub/dispatch/RequestDispatcher.java
@@ -198,6 +198,11 @@
         mailbox.post(new DispatcherMessage.EndpointsUpdated(kind, endpoints));
     }
 
+    /** Reports until when attempts and health checks may be sent by the endpoint list, on the dispatcher's clock. */
+    public void updateEndpointListValidity(long validUntilMicros) {
+        mailbox.post(new DispatcherMessage.EndpointListValidityChanged(validUntilMicros));
+    }
+
     /** Replaces the settings. Request classes and tenants keep their indexes, new ones come behind. */
     public void updateSettings(RoutingSettings settings) {
         mailbox.post(new DispatcherMessage.SettingsUpdated(settings));
--- a/src/main/java/magpiehub/lifecycle/Router.java
+++ b/src/main/java/magpiehub/lifecycle/Router.java
@@ -47,6 +47,9 @@
  * registry of its own, limits of streams, a plan for the loss of a site, the messages protocol, a key-value store.
  */
 public final class Router {
+    /** How long a process that takes over another one's socket waits for a list before it accepts clients. */
+    private static final long LIST_TIMEOUT_MILLIS = 8_000;
+
     private static final Path REGISTRY_FILE = Path.of("deploy/registry.json");
     private static final Path STREAMS_FILE = Path.of("deploy/streams.json");
     private static final Path SITE_FAILOVER_FILE = Path.of("deploy/site.json");
@@ -112,6 +115,10 @@
         startMessagesListener(messagesSettings, store);
         ServiceAnnouncement announcement = new ServiceAnnouncement(configuration, registry, store, clock, log);
         signals.onTermination(new GracefulShutdown(listeners, dispatcher, site::get, log, announcement, admin));
+        if (configuration.inheritsListener()) {
+            // The older process serves until this one says that it does.
+            awaitList();
+        }
         startConsole();
         clients.start();
         String address = withPort(configuration.listen(), clients.port());
@@ -271,6 +278,14 @@
         admin.onServing();
     }
 
+    private void awaitList() {
+        try {
+            discovery.awaitKnown(LIST_TIMEOUT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void awaitTermination() {
         try {
             Thread.currentThread().join();
--- a/src/main/java/magpiehub/routing/FleetState.java
+++ b/src/main/java/magpiehub/routing/FleetState.java
@@ -34,6 +34,7 @@
     private int readyCount;
     private int[] readyPerZone = {};
     private int readyInOwnZone;
+    private long validUntil = Long.MAX_VALUE;
 
     FleetState(ActiveSettings settings) {
         this.settings = settings;
@@ -45,6 +46,16 @@
         zoneCount = Math.max(Math.max(1, zoneCount), settings.get().zoneCount());
     }
 
+    /** Sets until when the endpoint list may be used. */
+    void setValidUntil(long time) {
+        validUntil = time;
+    }
+
+    /** Whether anything may be sent by the endpoint list. */
+    boolean isValid(long now) {
+        return now < validUntil;
+    }
+
     // ---- Endpoint lists ---------------------------------------------------------------------------------
     /** Takes an endpoint list; returns whether {@link #rebuild} is needed. */
     boolean update(EndpointListKind kind, List<Endpoint> endpoints, Listener listener) {
--- a/src/main/java/magpiehub/routing/HealthChecker.java
+++ b/src/main/java/magpiehub/routing/HealthChecker.java
@@ -45,14 +45,15 @@
 
     private boolean isDue(long now) {
         return settings.get().limits().allowsHealthChecks()
+                && fleet.isValid(now)
                 && fleet.size() > 0
                 && now - lastCheckAt >= PERIOD_MICROS * settings.get().instanceCount() / fleet.size();
     }
 
     /** Checks so many ready replicas of a zone, as far as it has them. */
-    void checkZone(int zone, int count) {
+    void checkZone(int zone, int count, long now) {
         int left = count;
-        for (int step = 0; left > 0 && step < fleet.size(); step++) {
+        for (int step = 0; left > 0 && step < fleet.size() && fleet.isValid(now); step++) {
             Replica replica = nextReplica();
             if (replica.isReady() && fleet.zoneOf(replica) == zone) {
                 actions.probe(replica.id());
--- a/src/main/java/magpiehub/routing/OutcomeRecorder.java
+++ b/src/main/java/magpiehub/routing/OutcomeRecorder.java
@@ -83,7 +83,8 @@
             }
             case SPOILT -> outliers.recordMalformedResponse(replica, now);
             case CONNECT_FAILED -> {
-                if (replica.isReady()) {
+                // Where the list says or may say that it takes none, the attempt was stopped before it was written.
+                if (replica.isReady() && fleet.isValid(now)) {
                     recordUnreachable(replica, took, now);
                 }
             }
--- a/src/main/java/magpiehub/routing/ReplicaSelector.java
+++ b/src/main/java/magpiehub/routing/ReplicaSelector.java
@@ -59,11 +59,14 @@
     }
 
     /**
-     * The replica for a request's next attempt, null if no replica may take it.
+     * The replica for a request's next attempt, null if no replica may take it or the endpoint list is out of date.
      *
      * @param width replicas that the request's affinity key is spread over
      */
     Replica select(RequestInFlight request, int width, long now) {
+        if (!fleet.isValid(now)) {
+            return null;
+        }
         zonePosition = SplitMix64.mixToUnitInterval(conversation(request.request()) ^ ZONE_POSITION_SALT);
         Replica trial = selectZoneTrial(request, now);
         if (trial != null) {
--- a/src/main/java/magpiehub/routing/RoutingEvents.java
+++ b/src/main/java/magpiehub/routing/RoutingEvents.java
@@ -11,6 +11,9 @@
     /** An endpoint list has come; {@code endpoints} is empty for {@link EndpointListKind#ERROR}. */
     void onEndpoints(long now, EndpointListKind kind, List<Endpoint> endpoints);
 
+    /** Until when the endpoint list may be used; without this event, for good. */
+    void onEndpointListValidity(long now, long validUntil);
+
     /** A client's request has come; exactly one final answer is owed. */
     void onRequest(long now, RoutingRequest request);
 
--- a/src/main/java/magpiehub/routing/RoutingPolicy.java
+++ b/src/main/java/magpiehub/routing/RoutingPolicy.java
@@ -110,6 +110,12 @@
         endpointLists.handle(kind, endpoints, now);
     }
 
+    @Override
+    public void onEndpointListValidity(long time, long validUntil) {
+        advanceClock(time);
+        fleet.setValidUntil(validUntil);
+    }
+
     /** Replicas known, ready or not. */
     int knownReplicaCount() {
         return fleet.size();
--- a/src/main/java/magpiehub/routing/ZoneFailover.java
+++ b/src/main/java/magpiehub/routing/ZoneFailover.java
@@ -113,7 +113,7 @@
     private void checkReplicas(int zone, long now) {
         if (settings.get().limits().allowsHealthChecks()) {
             int count = zones.acquireHealthChecks(zone) + (zones.acquireTrial(now, zone) ? 1 : 0);
-            healthChecker.checkZone(zone, count);
+            healthChecker.checkZone(zone, count, now);
         }
     }
 }
--- a/src/main/java/magpiehub/upstream/RequestSender.java
+++ b/src/main/java/magpiehub/upstream/RequestSender.java
@@ -66,8 +66,9 @@
      * decision. Returns null after having ended the attempt if it does not.
      */
     private UpstreamEndpoint usableEndpoint() {
-        UpstreamEndpoint endpoint = context.endpoints().find(endpointId);
-        if (endpoint != null && endpoint.isUsable()) {
+        UpstreamEndpoint endpoint =
+                context.endpoints().findUsable(endpointId, context.clock().micros());
+        if (endpoint != null) {
             return endpoint;
         }
         log.drainedBeforeWrite();
--- a/src/main/java/magpiehub/upstream/UpstreamEndpoints.java
+++ b/src/main/java/magpiehub/upstream/UpstreamEndpoints.java
@@ -13,12 +13,25 @@
  */
 final class UpstreamEndpoints {
     private final Map<String, UpstreamEndpoint> endpoints = new ConcurrentHashMap<>();
+    /** From this time on nothing may be sent by the list, which may be out of date. */
+    private volatile long validUntilMicros = Long.MAX_VALUE;
 
     /** The endpoint with this id, or null if there is none. */
     UpstreamEndpoint find(String id) {
         return endpoints.get(id);
     }
 
+    /** The endpoint with this id if a request may be written to it now; null if not. */
+    UpstreamEndpoint findUsable(String id, long nowMicros) {
+        UpstreamEndpoint endpoint = endpoints.get(id);
+        boolean usable = endpoint != null && endpoint.isUsable() && nowMicros < validUntilMicros;
+        return usable ? endpoint : null;
+    }
+
+    void setValidUntil(long micros) {
+        validUntilMicros = micros;
+    }
+
     /** Whether the endpoint is known and accepts requests. */
     boolean acceptsRequests(String id) {
         UpstreamEndpoint endpoint = endpoints.get(id);
--- a/src/main/java/magpiehub/upstream/UpstreamPool.java
+++ b/src/main/java/magpiehub/upstream/UpstreamPool.java
@@ -98,6 +98,11 @@
         streams.retainUpstreams(ids);
     }
 
+    /** Sets until when requests may be sent by the endpoint list, on the monotonic clock. */
+    public void setEndpointsValidUntil(long validUntilMicros) {
+        context.endpoints().setValidUntil(validUntilMicros);
+    }
+
     // ---- The dispatcher's thread ----------------------------------------------------------------------
 
     @Override
--- a/src/test/java/magpiehub/UpgradeTest.java
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -71,6 +71,7 @@
         engine = new ServerSocket(0, 64, loopback);
         engine.setSoTimeout(30_000);
         discovery = new ServerSocket(0, 8, loopback);
+        FakeDiscovery.serve(discovery);
         Path config = Files.createTempFile(folder, "junit", ".tmp");
         ServeTest.write(config, discovery, engine);
         ProcessBuilder b = new ProcessBuilder(
