Write no health check to a replica that takes no requests any more

What callers saw: a health check (GET /alive, or /metrics/load) could be written to a replica that had begun to drain or had gone after the check was decided, up to the connection limit later; requests had a check right before the write, health checks had none.

HealthProbe asks before it connects and again before it writes, as RequestSender does. What the list stops in this way is no sign that the replica or its zone is lost (OutcomeRecorder), as for attempts.

UpstreamPoolTest.aHealthCheckOfAnEngineThatDrainsIsNotSent and nothingIsWrittenOnceTheEndpointListIsOutOfDate failed before (a request line was read) and pass; a first form of the second waited for a connection that the check need not open, and timed out once. DecisionDigestTest is unchanged. Passed with it: HealthCheckerTest, ZoneHealthTest, RoutingPolicyTest, EmbeddingExampleTest, StaleEndpointListTest, formatter and Checkstyle.

--- a/src/main/java/magpiehub/routing/OutcomeRecorder.java
+++ b/src/main/java/magpiehub/routing/OutcomeRecorder.java
@@ -83,8 +83,7 @@
             }
             case SPOILT -> outliers.recordMalformedResponse(replica, now);
             case CONNECT_FAILED -> {
-                // Where the list says or may say that it takes none, the attempt was stopped before it was written.
-                if (replica.isReady() && fleet.isValid(now)) {
+                if (mayBeSentTo(replica, now)) {
                     recordUnreachable(replica, took, now);
                 }
             }
@@ -114,7 +113,11 @@
                     recordEvidence(replica, ZoneEvidence.ANSWERED, took, USUAL_LATENCY, now);
                 }
             }
-            case CONNECT_FAILED, RESET -> recordUnreachable(replica, took, now);
+            case CONNECT_FAILED, RESET -> {
+                if (mayBeSentTo(replica, now)) {
+                    recordUnreachable(replica, took, now);
+                }
+            }
             case TIMEOUT -> {
                 if (zones.plansFailover()) {
                     recordSilence(replica, took, now);
@@ -147,6 +150,11 @@
         recordEvidence(replica, ZoneEvidence.SILENCE, elapsed, USUAL_LATENCY, now);
     }
 
+    /** Whether a failure to connect shows anything: an attempt that the endpoint list stops is reported as one too. */
+    private boolean mayBeSentTo(Replica replica, long now) {
+        return replica.isReady() && fleet.isValid(now);
+    }
+
     private void recordUnreachable(Replica replica, long took, long now) {
         recordEvidence(replica, ZoneEvidence.NO_CONNECTION, took, USUAL_LATENCY, now);
         outliers.recordUnreachable(replica, now);
--- a/src/main/java/magpiehub/upstream/HealthProbe.java
+++ b/src/main/java/magpiehub/upstream/HealthProbe.java
@@ -49,7 +49,7 @@
     private AttemptOutcome exchange(Socket socket, LoadReportParser loadReports) throws IOException {
         connect(socket);
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-        String request = request(loadReports.isInProbes() ? "/metrics/load" : "/alive");
+        String request = request(usableEndpoint(), loadReports.isInProbes() ? "/metrics/load" : "/alive");
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         sent = true;
         HttpReader input = new HttpReader(socket.getInputStream(), context.clock());
@@ -67,20 +67,25 @@
         return AttemptOutcome.OK;
     }
 
-    private void connect(Socket socket) throws IOException {
-        UpstreamEndpoint endpoint = context.endpoints().find(endpointId);
-        if (endpoint == null || endpoint.hostPort() == null) {
-            throw new IOException("no address");
+    /** The endpoint; fails if it accepts no requests any more, for a check is one too. */
+    private UpstreamEndpoint usableEndpoint() throws IOException {
+        UpstreamEndpoint endpoint =
+                context.endpoints().findUsable(endpointId, context.clock().micros());
+        if (endpoint == null) {
+            throw new IOException("takes no requests");
         }
+        return endpoint;
+    }
+
+    private void connect(Socket socket) throws IOException {
+        UpstreamEndpoint endpoint = usableEndpoint();
         socket.setTcpNoDelay(true);
         socket.connect(
                 HostPort.toSocketAddress(endpoint.hostPort()),
                 context.settings().connectTimeoutMillis());
     }
 
-    private String request(String target) {
-        return "GET " + target
-                + " HTTP/1.1\r\nHost: " + context.endpoints().find(endpointId).hostPort()
-                + "\r\nConnection: close\r\n\r\n";
+    private static String request(UpstreamEndpoint endpoint, String target) {
+        return "GET " + target + " HTTP/1.1\r\nHost: " + endpoint.hostPort() + "\r\nConnection: close\r\n\r\n";
     }
 }
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayInputStream;
@@ -11,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -50,6 +52,7 @@
     private SiteSettings site;
     private FlowController streams;
     private RequestDispatcher dispatcher;
+    private UpstreamPool pool;
 
     @AfterEach
     void stop() {
@@ -65,7 +68,43 @@
             assertEquals("refused", answer.get(60, TimeUnit.SECONDS));
             assertTrue(eventLog.counters().contains("drained_before_write 1\n"), eventLog.counters());
             upstream.setSoTimeout(1);
-            org.junit.jupiter.api.Assertions.assertThrows(java.net.SocketTimeoutException.class, upstream::accept);
+            assertThrows(SocketTimeoutException.class, upstream::accept);
+        }
+    }
+
+    @Test
+    void aHealthCheckOfAnEngineThatDrainsIsNotSent() throws Exception {
+        try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            startRouter(upstream, false);
+            dispatcher.execute(() -> pool.probe("e"));
+            upstream.setSoTimeout(300);
+            assertThrows(SocketTimeoutException.class, upstream::accept);
+        }
+    }
+
+    /** The upstream's backlog is full, so that connecting takes until after the list has gone out of date. */
+    @Test
+    void nothingIsWrittenOnceTheEndpointListIsOutOfDate() throws Exception {
+        try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                Socket first = new Socket();
+                Socket second = new Socket()) {
+            first.connect(upstream.getLocalSocketAddress());
+            second.connect(upstream.getLocalSocketAddress());
+            startRouter(upstream, true);
+            submit(null);
+            dispatcher.execute(() -> pool.probe("e"));
+            awaitCounter("engine_connects 1\n");
+            long now = MonotonicClock.SYSTEM.micros();
+            pool.setEndpointsValidUntil(now);
+            dispatcher.updateEndpointListValidity(now);
+            upstream.setSoTimeout(60_000);
+            upstream.accept().close();
+            upstream.accept().close();
+            try (Socket late = upstream.accept()) {
+                assertEquals(-1, late.getInputStream().read(), "something was sent by a list that is out of date");
+            }
+            assertEquals("refused", answer.get(60, TimeUnit.SECONDS));
+            assertNothingIsWritten(upstream);
         }
     }
 
@@ -94,6 +133,16 @@
         }
     }
 
+    /** The health check has been connecting, or has found the list out of date before it began. */
+    private static void assertNothingIsWritten(ServerSocket upstream) throws IOException {
+        upstream.setSoTimeout(300);
+        try (Socket connection = upstream.accept()) {
+            assertEquals(-1, connection.getInputStream().read(), "a health check was sent");
+        } catch (SocketTimeoutException e) {
+            // It has opened no connection.
+        }
+    }
+
     private void awaitCounter(String line) throws InterruptedException {
         long end = System.nanoTime() + 60_000_000_000L;
         while (!eventLog.counters().contains(line)) {
@@ -211,7 +260,7 @@
                 "settings"));
         streams = new FlowController(
                 StreamLimitsReader.defaults(site.routing().classes(), 64 << 20), site, MonotonicClock.SYSTEM, eventLog);
-        UpstreamPool pool = new UpstreamPool(site, 8, MonotonicClock.SYSTEM, eventLog, new ActorThreadPool(), streams);
+        pool = new UpstreamPool(site, 8, MonotonicClock.SYSTEM, eventLog, new ActorThreadPool(), streams);
         dispatcher = new RequestDispatcher(site.routing(), 7, MonotonicClock.SYSTEM, pool, endpointSource, eventLog);
         pool.setDispatcher(dispatcher);
         dispatcherThread = DaemonThreads.newThread("module", dispatcher::run);
