Let exchanges wait for the list's lease, not for the list's counter

The exchange list-pushed failed once (line 23, /up 503) since the lease: the dispatcher counts the list before the lease of the same message is published, and the file went on at the counter. That order is wanted, for a lease before its list would let the old one be used; the files wait for 'list-confirmed' now, with the same expectations.

--- a/src/test/java/magpiehub/Player.java
+++ b/src/test/java/magpiehub/Player.java
@@ -152,7 +152,8 @@
         d.acceptFor(d);
         d.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         sendHeartbeat(d);
-        await(() -> hasCounter("lists_changes 1"), "the list was not confirmed");
+        // The list is counted before its lease is there.
+        await(() -> logged.toString(StandardCharsets.UTF_8).contains(" list-confirmed "), "the list was not confirmed");
     }
 
     private void sendHeartbeat(ExchangePeer d) throws Exception {
