Order idle connections by the times at which they were looked at

What callers would have seen: a router that accepts no more clients, or no longer expires their timers.

IdleEviction looks at each connection's time once, and filters and orders by what it saw; a connection that is chosen decides in its own turn whether it is idle still, as before.

--- a/src/main/java/magpiehub/downstream/IdleEviction.java
+++ b/src/main/java/magpiehub/downstream/IdleEviction.java
@@ -21,6 +21,9 @@
     /** When it is nearly full, how long a client may take to send its first request completely. */
     private static final long SILENT_NEARLY_FULL_MICROS = 300_000;
 
+    /** A connection, and since when it was idle as it was looked at: its actor may change that meanwhile. */
+    private record IdleConnection(EvictionCandidate connection, long idleSinceMicros) {}
+
     private final Collection<? extends EvictionCandidate> open;
     private final ConnectionCapacity capacity;
     private final MonotonicClock clock;
@@ -43,11 +46,15 @@
             return;
         }
         long nowMicros = clock.micros();
-        excess -= evict(c -> c.hasReceivedRequest() && nowMicros - c.idleSinceMicros() >= IDLE_MICROS, excess);
-        excess -= evict(c -> isSilent(c) && nowMicros - c.idleSinceMicros() >= SILENT_MICROS, excess);
+        excess -= evict(
+                idle -> idle.connection().hasReceivedRequest() && nowMicros - idle.idleSinceMicros() >= IDLE_MICROS,
+                excess);
+        excess -= evict(
+                idle -> isSilent(idle.connection()) && nowMicros - idle.idleSinceMicros() >= SILENT_MICROS, excess);
         if (excess > 0 && capacity.isNearlyFull(open.size())) {
             evict(
-                    c -> !c.hasReceivedRequest() && nowMicros - c.idleSinceMicros() >= SILENT_NEARLY_FULL_MICROS,
+                    idle -> !idle.connection().hasReceivedRequest()
+                            && nowMicros - idle.idleSinceMicros() >= SILENT_NEARLY_FULL_MICROS,
                     Math.min(excess, capacity.earlyEvictions()));
         }
     }
@@ -57,11 +64,11 @@
     }
 
     /** Evicts at most so many of the connections that match, and returns how many it were. */
-    private int evict(Predicate<EvictionCandidate> matches, int max) {
-        List<EvictionCandidate> idle = idleLongestFirst(matches);
+    private int evict(Predicate<IdleConnection> matches, int max) {
+        List<IdleConnection> idle = idleLongestFirst(matches);
         int count = Math.min(max, idle.size());
-        for (EvictionCandidate connection : idle.subList(0, count)) {
-            connection.evictIfIdle();
+        for (IdleConnection chosen : idle.subList(0, count)) {
+            chosen.connection().evictIfIdle();
         }
         return count;
     }
@@ -76,22 +83,24 @@
         if (deadlineMicros == 0) {
             return;
         }
-        List<EvictionCandidate> idle = idleLongestFirst(EvictionCandidate::hasReceivedRequest);
+        List<IdleConnection> idle =
+                idleLongestFirst(candidate -> candidate.connection().hasReceivedRequest());
         int count = DrainState.idleConnectionsToClose(idle.size(), deadlineMicros, nowMicros, periodMicros);
-        for (EvictionCandidate connection : idle.subList(0, count)) {
-            connection.closeIfIdle();
+        for (IdleConnection chosen : idle.subList(0, count)) {
+            chosen.connection().closeIfIdle();
         }
     }
 
-    private List<EvictionCandidate> idleLongestFirst(Predicate<EvictionCandidate> matches) {
-        List<EvictionCandidate> idle = new ArrayList<>();
+    private List<IdleConnection> idleLongestFirst(Predicate<IdleConnection> matches) {
+        List<IdleConnection> idle = new ArrayList<>();
         for (EvictionCandidate connection : open) {
-            boolean isIdle = connection.idleSinceMicros() != EvictionCandidate.BUSY;
-            if (isIdle && !connection.isToldToClose() && matches.test(connection)) {
-                idle.add(connection);
+            IdleConnection candidate = new IdleConnection(connection, connection.idleSinceMicros());
+            boolean isIdle = candidate.idleSinceMicros() != EvictionCandidate.BUSY;
+            if (isIdle && !connection.isToldToClose() && matches.test(candidate)) {
+                idle.add(candidate);
             }
         }
-        idle.sort(Comparator.comparingLong(EvictionCandidate::idleSinceMicros));
+        idle.sort(Comparator.comparingLong(IdleConnection::idleSinceMicros));
         return idle;
     }
 }
--- a/src/test/java/magpiehub/downstream/IdleEvictionTest.java
+++ b/src/test/java/magpiehub/downstream/IdleEvictionTest.java
@@ -1,9 +1,11 @@
 package magpiehub.downstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 /** Which idle connections are closed, and in which order. */
@@ -19,7 +21,7 @@
     private final IdleEviction eviction =
             new IdleEviction(open, new ConnectionCapacity(MAX_CONNECTIONS), () -> nowMicros);
 
-    private final class Candidate implements EvictionCandidate {
+    private class Candidate implements EvictionCandidate {
         private final String name;
         private final long idleSinceMicros;
         private final boolean receivedRequest;
@@ -102,6 +104,27 @@
         assertEquals(List.of("a", "b"), evicted);
     }
 
+    /** Connections turn busy and idle again while they are ordered; no order may fail by that. */
+    @Test
+    void evictsWhileConnectionsTurnIdle() {
+        SplittableRandom random = new SplittableRandom(7);
+        for (int i = 0; i < 1_000; i++) {
+            add(new Candidate("changing", 0, true) {
+                @Override
+                public long idleSinceMicros() {
+                    // By steps, so that there are runs for the order to rely on.
+                    return random.nextLong(4) * SECOND;
+                }
+            });
+        }
+        for (int round = 0; round < 100; round++) {
+            evicted.clear();
+            eviction.makeRoom();
+            assertFalse(evicted.isEmpty());
+            open.forEach(candidate -> candidate.toldToClose = false);
+        }
+    }
+
     @Test
     void neverEvictsWhatIsBusyOrHardlyIdleOrToldAlready() {
         idleFor("hardly idle", 2 * SECOND - 1);
