Pause between failed accepts, and log them once a second with their number

What callers saw: with accept failing (ENFILE, ECONNABORTED) for 1.2 s, measured on 2 December, the accepting thread tried again with no pause: 33,900 log lines, 0.7 of a core; on a quarter of a core that starves streams. A RuntimeException ended the thread.

AcceptBackoff: 5 ms after a first failure, doubled up to 100 ms, reset by the next client; a connection that ends meanwhile ends the pause, for it may have freed what was short. One line a second with the number of failures since the last one.

--- a/src/main/java/magpiehub/downstream/ConnectionAcceptor.java
+++ b/src/main/java/magpiehub/downstream/ConnectionAcceptor.java
@@ -16,6 +16,7 @@
     private final ListenerServices services;
     private final IdleEviction eviction;
     private final FirstByteWatcher firstByteWatcher;
+    private final AcceptBackoff backoff = new AcceptBackoff();
 
     ConnectionAcceptor(
             ListenerSocket listenerSocket,
@@ -29,20 +30,21 @@
     }
 
     /**
-     * Accepts until the socket is closed. Out of descriptors or threads, the connections that are open go on, and
-     * accepting is tried again.
+     * Accepts until the socket is closed. While it fails, as without descriptors or threads, the connections that are
+     * open go on, and accepting is tried again after a pause.
      */
     void run() {
         while (!listenerSocket.isClosed()) {
             Socket accepted = null;
             try {
                 accepted = listenerSocket.accept();
+                backoff.recordAccepted();
                 configure(accepted);
                 eviction.makeRoom();
                 startConnection(accepted);
                 services.eventLog().count("clients_accepted");
                 awaitRoom();
-            } catch (IOException | OutOfMemoryError e) {
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
                 handleFailure(accepted, e);
             } catch (InterruptedException e) {
                 return;
@@ -85,9 +87,23 @@
             return;
         }
         services.eventLog().count("accept_failures");
-        services.eventLog().log("accept-failure", "error", failure.toString());
+        long pauseMillis = backoff.recordFailure();
+        long failures = backoff.acquireLogLine(services.clock().micros());
+        if (failures > 0) {
+            services.eventLog().log("accept-failure", "error", failure.toString(), "failures", Long.toString(failures));
+        }
         if (accepted != null) {
             Sockets.closeQuietly(accepted);
         }
+        pause(pauseMillis);
+    }
+
+    /** A connection that ends meanwhile may have freed what was short. */
+    private void pause(long millis) {
+        try {
+            services.connections().awaitRemoval(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
