Hold that heartbeats of a watch that had fallen silent renew no lease

Planting that fault (WatchScheduler.isReliable without the look at lateness) failed no test; WatchSchedulerTest. dataOfASilentWatchRenewsNoLease fails with it and passes without.

--- a/src/test/java/magpiehub/discovery/platform/WatchSchedulerTest.java
+++ b/src/test/java/magpiehub/discovery/platform/WatchSchedulerTest.java
@@ -175,6 +175,22 @@
         }
     }
 
+    /** What it missed while it was silent it may never deliver: its later heartbeats say nothing of the list. */
+    @Test
+    void dataOfASilentWatchRenewsNoLease() throws Exception {
+        WatchSimulation simulation = WatchSimulation.start(1, 10 * MILLIS, 5);
+        Router router = simulation.routers.get(0);
+        SimulatedCall silent = router.watch;
+        long fellSilent = router.heartbeatAt();
+        simulation.beginOutage(simulation.discoveries.get(0), Outage.NEVER_ANSWERS, Long.MAX_VALUE);
+        simulation.runUntil(fellSilent + 4_500 * MILLIS);
+        for (int beat = 0; beat < 6; beat++) {
+            router.onDataOf(silent);
+            simulation.runUntil(simulation.now + 500 * MILLIS);
+        }
+        assertFalse(router.mayUseList());
+    }
+
     private static boolean isSentAfterASecond(WatchSimulation simulation, Router router) {
         simulation.runUntil(simulation.now + SECONDS);
         int before = router.sentTo.size();
--- a/src/test/java/magpiehub/discovery/platform/WatchSimulation.java
+++ b/src/test/java/magpiehub/discovery/platform/WatchSimulation.java
@@ -215,7 +215,8 @@
             policy.onEndpointListValidity(simulation.now, lease.validUntilMicros(GRACE));
         }
 
-        private void onDataOf(SimulatedCall call) {
+        /** A call delivers data. */
+        void onDataOf(SimulatedCall call) {
             watches.onData(call, simulation.now);
             if (watches.isReliable(call)) {
                 lease.recordCurrent(simulation.now);
