Hold that nothing is selected by a list that was put aside

Planting that fault (the policy never told of the lease) failed no test, for the check before each write hides it from callers; WatchSchedulerTest.listIsPutAsideWhileCallsAreNotAnswered asks the policy too now, fails with the plant ('sent by a list that was put aside') and passes without. The check before each write: planted through UpstreamPool.setEndpointsValidUntil, found by UpstreamPoolTest.nothingIsWrittenOnceTheEndpointListIsOutOfDate.

--- a/src/test/java/magpiehub/discovery/platform/WatchSchedulerTest.java
+++ b/src/test/java/magpiehub/discovery/platform/WatchSchedulerTest.java
@@ -168,6 +168,7 @@
             assertTrue(router.mayUseList(), "seed " + seed + ": put aside too early");
             simulation.runUntil(lastHeartbeat + 7_500 * MILLIS);
             assertFalse(router.mayUseList(), "seed " + seed + ": not put aside");
+            assertFalse(isSent(simulation, router), "seed " + seed + ": sent by a list that was put aside");
             simulation.runUntil(lastHeartbeat + 12 * SECONDS);
             for (int second = 12; second <= 60; second++) {
                 assertTrue(isSentAfterASecond(simulation, router), "seed " + seed + ": " + second + " s");
@@ -193,6 +194,11 @@
 
     private static boolean isSentAfterASecond(WatchSimulation simulation, Router router) {
         simulation.runUntil(simulation.now + SECONDS);
+        return isSent(simulation, router);
+    }
+
+    /** Whether a request that comes now is sent. */
+    private static boolean isSent(WatchSimulation simulation, Router router) {
         int before = router.sentTo.size();
         router.policy.onRequest(
                 simulation.now,
