Take no call that this machine could not make for a sign that discovery is down

What callers would have seen: after a start, one call to discovery that failed for want of a thread, a buffer or an address on the router's own machine let it use its saved list at once, and requests could go to servers that had left, as in the incident.

CallFailure tells them apart by the exception's type: a refusal shows that discovery is down, a timeout or an unreachable host is one loss of two (a full queue of a crowded discovery looks the same), anything else shows nothing. discovery-failed logs it as 'failure' in place of 'connected'.

No play with failing system calls in the real process.

--- a/src/main/java/magpiehub/discovery/platform/EndpointListLease.java
+++ b/src/main/java/magpiehub/discovery/platform/EndpointListLease.java
@@ -38,14 +38,13 @@
         losses++;
     }
 
-    /**
-     * A call has failed.
-     *
-     * @param connected whether discovery's machine had accepted it
-     */
-    void recordCallFailed(long nowMicros, boolean connected) {
-        losses = connected ? losses + 1 : LOSSES_WHEN_DOWN;
-        if (losses >= LOSSES_WHEN_DOWN) {
+    /** A call has failed. */
+    void recordCallFailed(long nowMicros, CallFailure failure) {
+        if (failure == CallFailure.LOCAL) {
+            return;
+        }
+        losses = failure == CallFailure.REFUSED ? LOSSES_WHEN_DOWN : losses + 1;
+        if (isDiscoveryDown()) {
             renewedAtMicros = nowMicros;
         }
     }
--- a/src/main/java/magpiehub/discovery/platform/PlatformCall.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformCall.java
@@ -13,8 +13,8 @@
     final long openedAtMicros;
     /** Whether the call has delivered nothing yet. Used by the actor's thread alone. */
     boolean awaitsFirstData = true;
-    /** Whether discovery has accepted the connection. Set by the call's own thread, read by any. */
-    volatile boolean connected;
+    /** What an end of the call now would show. Set by the call's own thread, read by any. */
+    volatile CallFailure failure = CallFailure.LOCAL;
 
     PlatformCall(boolean watch, String address, long openedAtMicros) {
         super(address);
--- a/src/main/java/magpiehub/discovery/platform/PlatformCallReader.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformCallReader.java
@@ -66,13 +66,22 @@
 
     private HttpReader send(PlatformCall call, Socket socket, String target) throws IOException {
         socket.setTcpNoDelay(true);
-        socket.connect(HostPort.toSocketAddress(call.address), CONNECT_TIMEOUT_MILLIS);
-        call.connected = true;
+        connect(call, socket);
         String request = "GET " + target + " HTTP/1.1\r\nHost: " + call.address + "\r\n\r\n";
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         return new HttpReader(socket.getInputStream(), clock);
     }
 
+    private static void connect(PlatformCall call, Socket socket) throws IOException {
+        try {
+            socket.connect(HostPort.toSocketAddress(call.address), CONNECT_TIMEOUT_MILLIS);
+            call.failure = CallFailure.UNANSWERED;
+        } catch (IOException e) {
+            call.failure = CallFailure.ofConnect(e);
+            throw e;
+        }
+    }
+
     private void readUpdates(PlatformCall call, InputStream body) throws IOException {
         ValueInputStream values = new ValueInputStream(call, body);
         try (JsonParser json = Json.FACTORY.createParser(values)) {
--- a/src/main/java/magpiehub/discovery/platform/PlatformDiscovery.java
+++ b/src/main/java/magpiehub/discovery/platform/PlatformDiscovery.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -303,7 +304,7 @@
 
         private void recordFailure(PlatformCall call) {
             if (call.awaitsFirstData) {
-                lease.recordCallFailed(clock.micros(), call.connected);
+                lease.recordCallFailed(clock.micros(), call.failure);
             }
         }
     }
@@ -393,7 +394,7 @@
     private void onListCallFailed(String reason) {
         PlatformCall failed = listCall;
         closeListCall();
-        lease.recordCallFailed(clock.micros(), failed.connected);
+        lease.recordCallFailed(clock.micros(), failed.failure);
         reportFailure(failed, reason);
     }
 
@@ -405,8 +406,8 @@
                 call.watch ? "watch" : "list",
                 "why",
                 reason,
-                "connected",
-                Boolean.toString(call.connected),
+                "failure",
+                call.failure.name().toLowerCase(Locale.ROOT),
                 "delivered",
                 Boolean.toString(!call.awaitsFirstData),
                 "open_ms",
--- a/src/test/java/magpiehub/discovery/platform/PlatformDiscoveryTest.java
+++ b/src/test/java/magpiehub/discovery/platform/PlatformDiscoveryTest.java
@@ -1,6 +1,8 @@
 package magpiehub.discovery.platform;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -27,6 +29,9 @@
     /** A watch is requested again up to 0.95 s after one has failed, and 5 s after one that was never ended. */
     private static final int ASKED_AGAIN_MS = 4_000;
 
+    private static final String SAVED_LIST = "{\"revision\":1,\"complete\":true,\"members\":["
+            + "{\"id\":\"e\",\"host_port\":\"127.0.0.1:1\",\"phase\":\"Ready\"}]}";
+
     /** A call without a thread to read it has failed like any other: the next one begins in time. */
     @Test
     void callWithoutAThreadIsFollowedByAnother() throws Exception {
@@ -54,12 +59,13 @@
                     });
             RequestDispatcher module = new RequestDispatcher(site.routing(), 7, clock, engines, discovery, log);
             engines.setDispatcher(module);
-            discovery.start(module, null);
+            discovery.start(module, SAVED_LIST.getBytes(UTF_8));
             Thread thread = DaemonThreads.newThread("module", module::run);
             thread.start();
             try (Socket second = server.accept()) {
                 assertEquals(2, calls.get());
                 assertTrue(log.counters().contains("discovery_failures 1\n"), log.counters());
+                assertFalse(discovery.isKnown(), "the saved list is held for the best because of this machine's fault");
             } finally {
                 thread.interrupt();
             }
--- a/src/test/java/magpiehub/discovery/platform/WatchSimulation.java
+++ b/src/test/java/magpiehub/discovery/platform/WatchSimulation.java
@@ -90,8 +90,8 @@
             this.startedAt = now;
         }
 
-        private boolean isConnected() {
-            return failure != Outage.REFUSES && failure != Outage.NEVER_CONNECTS;
+        private CallFailure shownFailure() {
+            return failure == Outage.REFUSES ? CallFailure.REFUSED : CallFailure.UNANSWERED;
         }
 
         private boolean hasFailed(long now) {
@@ -313,7 +313,7 @@
 
         private void recordFailure(SimulatedCall call) {
             if (!call.delivered) {
-                lease.recordCallFailed(simulation.now, call.isConnected());
+                lease.recordCallFailed(simulation.now, call.shownFailure());
                 publishLease();
             }
         }
