--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../support/run-case.sh" 3 PlannedRestart
+exec "$(dirname "$0")/../support/run-case.sh" 3 RetuneAndRestart
