--- a/review/support/Rig.java
+++ b/review/support/Rig.java
@@ -416,7 +416,6 @@
     final class Engine {
         final String id;
         final ServerSocket server = new ServerSocket(0, 128, LOOPBACK);
-        final List<String> taken = new CopyOnWriteArrayList<>();
         volatile Answer answer;
 
         Engine(String id, Answer answer) throws IOException {
@@ -447,7 +446,6 @@
                     continue;
                 }
                 Work work = new Work(this, socket, out, headers, new String(body, StandardCharsets.UTF_8));
-                taken.add(work.id);
                 log("engine %s takes %s, told %s ms", id, work.id, headers.get("x-budget-ms"));
                 try {
                     answer.to(work);
