Reuse a connection to an engine only once its reader has found nothing on it

Cause: an idle connection counted as rested 20 ms after its last answer by the dispatcher's clock. What closes a connection with unexpected bytes is its reader, on another thread, and time passes on the clock while the process does not run. After a hold-up the actor records the next request before the reader compares answers with requests written, and the second copy passes for the next answer.

Change: the reader itself waits for the 20 ms, then asks the socket for bytes that it has not read, and only then marks the socket as quiet (SocketProgress, one for each socket). Only a quiet socket gets a request; writing one, bytes and the end of input take the mark away. Nobody else reads from that socket, so the order holds however long a thread is held up. Before a write unread bytes are looked for once more. Counters engine_connections_quiet and engine_unexpected_bytes. Three waits on mailboxes that nobody posts to are MonotonicClock.sleepUntil now.

Tests: UpstreamPoolTest.bytesBehindAResponseAreNotTheResponseToTheNextRequestAfterAHoldUp stops the readers alone; on the program before it failed (the second request got the first one's event), now it passes. IdleConnectionsTest held the delay by the clock; in its place it holds the mark, and that neither time nor an earlier socket's reader sets it.

--- a/src/main/java/magpiehub/admin/AdminCommandHandler.java
+++ b/src/main/java/magpiehub/admin/AdminCommandHandler.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import magpiehub.concurrent.DaemonThreads;
-import magpiehub.concurrent.Mailbox;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.telemetry.EventLog;
 
@@ -68,10 +67,9 @@
     }
 
     private void pollFile() {
-        Mailbox<Object> timer = new Mailbox<>(clock, 0);
         try {
             while (true) {
-                timer.take(clock.micros() + FILE_POLL_MICROS);
+                clock.sleepUntil(clock.micros() + FILE_POLL_MICROS);
                 applyFileChanges();
                 if (hasUnstoredIds) {
                     hasUnstoredIds = false;
--- a/src/main/java/magpiehub/concurrent/MonotonicClock.java
+++ b/src/main/java/magpiehub/concurrent/MonotonicClock.java
@@ -36,4 +36,14 @@
     default void await(Object monitor, long untilMicros) throws InterruptedException {
         monitor.wait(untilMicros == Long.MAX_VALUE ? 0 : Math.max(1, (untilMicros - micros() + 999) / 1000));
     }
+
+    /** Waits until this clock has reached a time. Unlike {@link Thread#sleep}, follows a simulated clock. */
+    default void sleepUntil(long untilMicros) throws InterruptedException {
+        Object monitor = new Object();
+        synchronized (monitor) {
+            while (micros() < untilMicros) {
+                await(monitor, untilMicros);
+            }
+        }
+    }
 }
--- a/src/main/java/magpiehub/downstream/ConnectionMonitor.java
+++ b/src/main/java/magpiehub/downstream/ConnectionMonitor.java
@@ -1,6 +1,5 @@
 package magpiehub.downstream;
 
-import magpiehub.concurrent.Mailbox;
 import magpiehub.streaming.StreamOutcome;
 
 /**
@@ -24,12 +23,10 @@
 
     /** Runs until the listening socket and the last connection are closed. */
     void run() {
-        // Stays empty: taking from it waits on the given clock, which need not be the system clock.
-        Mailbox<ClientMessage> empty = new Mailbox<>(services.clock(), 0);
         try {
             long nowMicros = services.clock().micros();
             while (!listenerSocket.isClosed() || services.connections().size() > 0) {
-                empty.take(nowMicros + PERIOD_MICROS);
+                services.clock().sleepUntil(nowMicros + PERIOD_MICROS);
                 nowMicros = services.clock().micros();
                 checkConnections(nowMicros);
             }
--- a/src/main/java/magpiehub/upstream/ConnectionLog.java
+++ b/src/main/java/magpiehub/upstream/ConnectionLog.java
@@ -32,6 +32,11 @@
         eventLog.count("stale_connections");
     }
 
+    /** Bytes have arrived behind a complete response; the socket is closed. */
+    void unexpectedBytes() {
+        eventLog.count("engine_unexpected_bytes");
+    }
+
     /** A non-stream response that does not state that the request was rejected. */
     void errorResponse(int status) {
         eventLog.log("engine-error", "engine", endpointId, "status", Integer.toString(status));
--- a/src/main/java/magpiehub/upstream/ConnectionSocket.java
+++ b/src/main/java/magpiehub/upstream/ConnectionSocket.java
@@ -56,6 +56,15 @@
         socket.getOutputStream().write(bytes);
     }
 
+    /** Whether bytes have arrived on the current socket that its reader has not taken; true also if it is closed. */
+    boolean hasUnreadBytes() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Closes the current socket, if any. */
     void close() {
         if (socket != null) {
--- a/src/main/java/magpiehub/upstream/ConnectionTimer.java
+++ b/src/main/java/magpiehub/upstream/ConnectionTimer.java
@@ -3,7 +3,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import magpiehub.concurrent.DaemonThreads;
-import magpiehub.concurrent.Mailbox;
 import magpiehub.concurrent.MonotonicClock;
 
 /**
@@ -35,12 +34,10 @@
     }
 
     private void run() {
-        // Waiting on an empty mailbox follows the router's clock, which Thread.sleep would not.
-        Mailbox<Void> neverPosted = new Mailbox<>(clock, 0);
         long nowMicros = clock.micros();
         try {
             while (true) {
-                neverPosted.take(nowMicros + CHECK_INTERVAL_MICROS);
+                clock.sleepUntil(nowMicros + CHECK_INTERVAL_MICROS);
                 nowMicros = clock.micros();
                 for (UpstreamConnection connection : connections) {
                     if (connection.timerDueMicros() <= nowMicros) {
--- a/src/main/java/magpiehub/upstream/IdleConnections.java
+++ b/src/main/java/magpiehub/upstream/IdleConnections.java
@@ -10,12 +10,6 @@
  * The idle connections by endpoint, in the order in which they became idle. Confined to the dispatcher's thread.
  */
 final class IdleConnections {
-    /**
-     * Minimum idle time before a connection is reused. Bytes that a faulty upstream sends after a complete response
-     * arrive within this time and close the connection, so that they aren't mistaken for the next response.
-     */
-    static final long MIN_REUSE_DELAY_MICROS = 20_000;
-
     private final Map<String, ArrayDeque<UpstreamConnection>> byEndpoint = new HashMap<>();
 
     /** Adds a connection that has become idle. */
@@ -31,15 +25,15 @@
         return connections != null && connections.remove(connection);
     }
 
-    /** Removes and returns the most recently used connection that may be reused, or null if there is none. */
-    UpstreamConnection takeReusable(String endpointId, long nowMicros) {
+    /** Removes and returns the most recently used connection whose socket is quiet, or null if there is none. */
+    UpstreamConnection takeReusable(String endpointId) {
         ArrayDeque<UpstreamConnection> connections = byEndpoint.get(endpointId);
         if (connections == null) {
             return null;
         }
         for (Iterator<UpstreamConnection> newestFirst = connections.descendingIterator(); newestFirst.hasNext(); ) {
             UpstreamConnection connection = newestFirst.next();
-            if (nowMicros - connection.releasedAtMicros() >= MIN_REUSE_DELAY_MICROS) {
+            if (connection.progress().isQuiet()) {
                 newestFirst.remove();
                 return connection;
             }
--- a/src/main/java/magpiehub/upstream/RequestSender.java
+++ b/src/main/java/magpiehub/upstream/RequestSender.java
@@ -43,7 +43,7 @@
             return;
         }
         execution.response().setStreamListener(exchange.streamListener());
-        if (socket.isOpen() && hasEndpointMoved()) {
+        if (socket.isOpen() && (hasEndpointMoved() || !isQuiet())) {
             socket.close();
         }
         if (!socket.isOpen()) {
@@ -61,6 +61,15 @@
         return endpoint != null && !socket.hostPort().equals(endpoint.hostPort());
     }
 
+    /** Whether nothing has arrived behind the last response, which would pass for the response to the next request. */
+    private boolean isQuiet() {
+        if (socket.hasUnreadBytes()) {
+            log.unexpectedBytes();
+            return false;
+        }
+        return connection.progress().isQuiet();
+    }
+
     /**
      * Returns the endpoint if it still accepts requests; the endpoint list may have changed since the routing decision.
      * Otherwise ends the attempt and returns null.
@@ -87,9 +96,9 @@
             return;
         }
         socket.replace(newSocket, endpoint.hostPort());
-        connection.recordNewSocket();
+        SocketProgress progress = connection.recordNewSocket();
         log.connecting();
-        readers.execute(new ResponseReader(context, connection, newSocket, socket.hostPort()));
+        readers.execute(new ResponseReader(context, connection, newSocket, progress, socket.hostPort()));
     }
 
     /** Writes the request, unless the endpoint is draining or the client has disconnected. */
@@ -101,7 +110,7 @@
             execution.endBeforeStream(AttemptOutcome.CANCELLED);
             return;
         }
-        boolean reused = connection.requestsWritten() > 0;
+        boolean reused = connection.progress().requestsWritten() > 0;
         try {
             // Recomputed after connecting, which may take long: the upstream is told the time that is left now.
             long timeLeftMicros =
--- a/src/main/java/magpiehub/upstream/ResponseHandler.java
+++ b/src/main/java/magpiehub/upstream/ResponseHandler.java
@@ -137,6 +137,9 @@
      */
     void connectionLost(String reason, boolean malformed) {
         if (!execution.isActive()) {
+            if (malformed) {
+                log.unexpectedBytes();
+            }
             execution.closeWhileIdle();
             return;
         }
--- a/src/main/java/magpiehub/upstream/ResponseReader.java
+++ b/src/main/java/magpiehub/upstream/ResponseReader.java
@@ -14,8 +14,17 @@
  * Connects one socket and reads responses from it until it is closed, on a blocking thread. It only posts what it reads
  * to the connection; it makes no decisions and never writes to or closes the socket. The last message that it posts is
  * {@link ConnectionMessage.ConnectionLost}.
+ *
+ * <p>A faulty upstream may send more bytes some milliseconds after a complete response. They must not pass for the
+ * response to the next request. The time that has passed since the response does not show that there are none, since
+ * this thread need not have run in the meantime: the whole process may have been stopped. Therefore the reader itself
+ * waits for the {@linkplain #QUIET_PERIOD_MICROS quiet period}, then looks for bytes that it has not read, and records
+ * that there are none; no request is written on the socket before that.
  */
 final class ResponseReader implements Runnable {
+    /** The time after a response within which a faulty upstream's further bytes arrive. */
+    static final long QUIET_PERIOD_MICROS = 20_000;
+
     /** Time limit for reading a response head, from its first byte, which the upstream sends with the first token. */
     private static final long HEAD_TIMEOUT_MICROS = 1_000_000;
 
@@ -29,12 +38,19 @@
     private final UpstreamContext context;
     private final UpstreamConnection connection;
     private final Socket socket;
+    private final SocketProgress progress;
     private final String hostPort;
 
-    ResponseReader(UpstreamContext context, UpstreamConnection connection, Socket socket, String hostPort) {
+    ResponseReader(
+            UpstreamContext context,
+            UpstreamConnection connection,
+            Socket socket,
+            SocketProgress progress,
+            String hostPort) {
         this.context = context;
         this.connection = connection;
         this.socket = socket;
+        this.progress = progress;
         this.hostPort = hostPort;
     }
 
@@ -52,6 +68,7 @@
         } catch (IOException | InterruptedException | RuntimeException | OutOfMemoryError e) {
             reason = e.toString();
         }
+        progress.recordActivity();
         connection.post(new ConnectionMessage.ConnectionLost(socket, reason, malformed));
     }
 
@@ -64,15 +81,30 @@
     private void readResponses() throws IOException, InterruptedException {
         HttpReader input = new HttpReader(socket.getInputStream(), context.clock());
         for (int responses = 1; input.awaitMessage(); responses++) {
-            if (responses > connection.requestsWritten()) {
+            progress.recordActivity();
+            if (responses > progress.requestsWritten()) {
                 throw new HttpException(STATUS_BAD_GATEWAY, "unexpected bytes after the response");
             }
-            HttpHead head = readHead(input);
-            if (head.status() == STATUS_OK) {
-                readStream(input, head);
-            } else {
-                readErrorResponse(input, head);
-            }
+            readResponse(input);
+        }
+    }
+
+    private void readResponse(HttpReader input) throws IOException, InterruptedException {
+        HttpHead head = readHead(input);
+        ConnectionMessage end = head.status() == STATUS_OK ? readStream(input, head) : readErrorResponse(input, head);
+        long completedMicros = context.clock().micros();
+        connection.post(end);
+        if (isReusable(input, head)) {
+            awaitQuietPeriod(completedMicros + QUIET_PERIOD_MICROS);
+        }
+    }
+
+    /** Waits for the end of the quiet period after a response, and records whether nothing has arrived by then. */
+    private void awaitQuietPeriod(long endMicros) throws IOException, InterruptedException {
+        context.clock().sleepUntil(endMicros);
+        if (socket.getInputStream().available() == 0) {
+            progress.recordQuietPeriod();
+            context.eventLog().count("engine_connections_quiet");
         }
     }
 
@@ -97,9 +129,10 @@
         return head.status() / 100 == 1;
     }
 
-    private void readStream(HttpReader input, HttpHead head) throws IOException, InterruptedException {
+    /** Reads a stream and posts its events; returns the message that ends it. */
+    private ConnectionMessage readStream(HttpReader input, HttpHead head) throws IOException, InterruptedException {
         input.readEvents(head, this::postEvent);
-        connection.post(new ConnectionMessage.StreamCompleted(socket, isReusable(input, head), loadReport(head)));
+        return new ConnectionMessage.StreamCompleted(socket, isReusable(input, head), loadReport(head));
     }
 
     /** Posts an event; blocks while the mailbox is full, so that no event of a fast upstream is lost. */
@@ -113,14 +146,15 @@
         }
     }
 
-    private void readErrorResponse(HttpReader input, HttpHead head) throws IOException {
+    /** Reads the body of a response that is not a stream; returns the message that ends it. */
+    private ConnectionMessage readErrorResponse(HttpReader input, HttpHead head) throws IOException {
         input.readBody(head);
-        connection.post(new ConnectionMessage.ErrorResponse(
+        return new ConnectionMessage.ErrorResponse(
                 socket,
                 head.status(),
                 "1".equals(head.headers().get("X-Rejected")),
                 isReusable(input, head),
-                loadReport(head)));
+                loadReport(head));
     }
 
     /** Whether the connection may be reused: the upstream keeps it open, and no bytes follow the response. */
--- a/src/main/java/magpiehub/upstream/UpstreamConnection.java
+++ b/src/main/java/magpiehub/upstream/UpstreamConnection.java
@@ -37,12 +37,11 @@
 
     // Confined to the dispatcher's thread.
     private boolean assigned;
-    private long releasedAtMicros;
 
     // Written by the actor only.
     private volatile long timerDueMicros = NEVER;
-    /** Requests written on the current socket; the reader rejects a response that has no request. */
-    private volatile int requestsWritten;
+    /** The progress on the current or last socket. */
+    private volatile SocketProgress progress = new SocketProgress();
     /** The flow of the current request, to which the reader accounts the bytes that it reads. */
     private volatile StreamFlow flow;
 
@@ -76,20 +75,10 @@
         assigned = false;
     }
 
-    /** Records that the connection has become idle. */
-    void markIdle(long nowMicros) {
-        releasedAtMicros = nowMicros;
-    }
-
     boolean isAssigned() {
         return assigned;
     }
 
-    /** The time at which the connection last became idle. */
-    long releasedAtMicros() {
-        return releasedAtMicros;
-    }
-
     // ---- Any thread -----------------------------------------------------------------------------------
 
     String endpointId() {
@@ -111,9 +100,9 @@
         return timerDueMicros;
     }
 
-    /** The number of requests written on the current socket. */
-    int requestsWritten() {
-        return requestsWritten;
+    /** The progress on the current socket, or on the last one if there is none. */
+    SocketProgress progress() {
+        return progress;
     }
 
     /** The flow of the last request written. */
@@ -138,15 +127,16 @@
         timerDueMicros = dueMicros;
     }
 
-    /** Records that a new socket replaces the previous one. */
-    void recordNewSocket() {
-        requestsWritten = 0;
+    /** Records that a new socket replaces the previous one, and returns the progress on it. */
+    SocketProgress recordNewSocket() {
+        SocketProgress newProgress = new SocketProgress();
+        progress = newProgress;
+        return newProgress;
     }
 
-    /** Records a request before it is written, since the reader checks responses against the number of requests. */
-    @SuppressWarnings("NonAtomicVolatileUpdate") // Only the connection's actor writes the count.
+    /** Records a request that is about to be written. */
     void recordRequest(StreamFlow requestFlow) {
         flow = requestFlow;
-        requestsWritten++;
+        progress.recordRequest();
     }
 }
--- a/src/main/java/magpiehub/upstream/UpstreamPool.java
+++ b/src/main/java/magpiehub/upstream/UpstreamPool.java
@@ -107,8 +107,7 @@
 
     @Override
     public AttemptHandle startAttempt(Attempt attempt) {
-        UpstreamConnection connection = idleConnections.takeReusable(
-                attempt.endpointId(), context.clock().micros());
+        UpstreamConnection connection = idleConnections.takeReusable(attempt.endpointId());
         UpstreamAttempt upstreamAttempt = new UpstreamAttempt(attempt);
         if (connection == null) {
             if (connectionCount >= maxConnections && !evictIdleConnection()) {
@@ -188,7 +187,6 @@
         public void onReleased(UpstreamConnection connection, boolean reusable) {
             connection.markReleased();
             if (reusable && context.endpoints().acceptsRequests(connection.endpointId())) {
-                connection.markIdle(context.clock().micros());
                 context.eventLog().count("engine_connections_kept");
                 idleConnections.add(connection);
             } else {
--- a/src/test/java/magpiehub/upstream/IdleConnectionsTest.java
+++ b/src/test/java/magpiehub/upstream/IdleConnectionsTest.java
@@ -23,58 +23,81 @@
 import org.junit.jupiter.api.Test;
 
 class IdleConnectionsTest {
-    private static final long START_MICROS = 1_000_000;
-    private static final long REUSE_DELAY_MICROS = IdleConnections.MIN_REUSE_DELAY_MICROS;
-
     private final UpstreamContext context = newContext();
     private final IdleConnections idle = new IdleConnections();
 
+    /** Whatever time has passed: only its reader can tell that nothing has arrived behind the last response. */
+    @Test
+    void aConnectionIsNotReusedBeforeItsReaderHasFoundItQuiet() {
+        UpstreamConnection connection = addIdle("a");
+        SocketProgress progress = connection.recordNewSocket();
+        assertNull(idle.takeReusable("a"));
+        progress.recordQuietPeriod();
+        assertSame(connection, idle.takeReusable("a"));
+        assertNull(idle.takeReusable("a"));
+    }
+
+    @Test
+    void aConnectionIsNotReusedOnceSomethingHasArrivedOrARequestWasWritten() {
+        SocketProgress received = addQuiet("a").progress();
+        received.recordActivity();
+        SocketProgress written = addQuiet("a").progress();
+        written.recordRequest();
+        assertNull(idle.takeReusable("a"));
+    }
+
     @Test
-    void aConnectionIsNotReusedBeforeTheReuseDelay() {
-        UpstreamConnection connection = addIdle("a", START_MICROS);
-        assertNull(idle.takeReusable("a", START_MICROS + REUSE_DELAY_MICROS - 1));
-        assertSame(connection, idle.takeReusable("a", START_MICROS + REUSE_DELAY_MICROS));
-        assertNull(idle.takeReusable("a", START_MICROS + REUSE_DELAY_MICROS));
+    void theReaderOfAnEarlierSocketDoesNotMakeTheNextOneReusable() {
+        UpstreamConnection connection = addIdle("a");
+        SocketProgress earlier = connection.recordNewSocket();
+        connection.recordNewSocket();
+        earlier.recordQuietPeriod();
+        assertNull(idle.takeReusable("a"));
     }
 
     @Test
-    void theMostRecentlyUsedReusableConnectionIsTaken() {
-        UpstreamConnection oldest = addIdle("a", START_MICROS);
-        UpstreamConnection older = addIdle("a", START_MICROS + 1);
-        addIdle("a", START_MICROS + 2);
-        assertSame(older, idle.takeReusable("a", START_MICROS + 1 + REUSE_DELAY_MICROS));
-        assertSame(oldest, idle.takeReusable("a", START_MICROS + 1 + REUSE_DELAY_MICROS));
+    void theMostRecentlyUsedQuietConnectionIsTaken() {
+        UpstreamConnection oldest = addQuiet("a");
+        UpstreamConnection older = addQuiet("a");
+        addIdle("a");
+        assertSame(older, idle.takeReusable("a"));
+        assertSame(oldest, idle.takeReusable("a"));
     }
 
     @Test
     void connectionsToOtherEndpointsAreNotTaken() {
-        addIdle("a", START_MICROS);
-        assertNull(idle.takeReusable("b", START_MICROS + REUSE_DELAY_MICROS));
+        addQuiet("a");
+        assertNull(idle.takeReusable("b"));
         assertNull(idle.takeOldest("b"));
     }
 
     @Test
     void theLongestIdleConnectionOfTheEndpointWithMostIsEvicted() {
-        addIdle("a", START_MICROS);
-        UpstreamConnection longestIdle = addIdle("b", START_MICROS + 1);
-        addIdle("b", START_MICROS + 2);
+        addIdle("a");
+        UpstreamConnection longestIdle = addIdle("b");
+        addIdle("b");
         assertSame(longestIdle, idle.takeEvictionCandidate());
     }
 
     @Test
     void nothingIsEvictedWithoutIdleConnections() {
         assertNull(idle.takeEvictionCandidate());
-        UpstreamConnection connection = addIdle("a", START_MICROS);
+        UpstreamConnection connection = addIdle("a");
         assertTrue(idle.remove(connection));
         assertFalse(idle.remove(connection));
         assertNull(idle.takeEvictionCandidate());
     }
 
-    private UpstreamConnection addIdle(String endpointId, long nowMicros) {
+    private UpstreamConnection addQuiet(String endpointId) {
+        UpstreamConnection connection = addIdle(endpointId);
+        connection.progress().recordQuietPeriod();
+        return connection;
+    }
+
+    private UpstreamConnection addIdle(String endpointId) {
         ConnectionTimer timer = new ConnectionTimer(MonotonicClock.SYSTEM);
         UpstreamConnection connection =
                 new UpstreamConnection(endpointId, context, new CachedThreadPool("unused"), timer, null);
-        connection.markIdle(nowMicros);
         idle.add(connection);
         return connection;
     }
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -46,6 +46,7 @@
 /** Race conditions that recorded exchanges can't reproduce, such as a list update between routing and write. */
 class UpstreamPoolTest {
     private final SyslogEventLog eventLog = new SyslogEventLog(System.err, "test", 1);
+    private MonotonicClock clock = MonotonicClock.SYSTEM;
     private volatile CompletableFuture<String> answer = new CompletableFuture<>();
     private volatile boolean clientDisconnected;
     private Thread dispatcherThread;
@@ -174,6 +175,134 @@
         }
     }
 
+    /**
+     * Guards against a client getting the answer to another request: the upstream answers twice, and the connection's
+     * reader gets no processor time from the first answer on until the next request is on its way.
+     */
+    @Test
+    void bytesBehindAResponseAreNotTheResponseToTheNextRequestAfterAHoldUp() throws Exception {
+        ReaderStoppingClock stoppingClock = new ReaderStoppingClock();
+        clock = stoppingClock;
+        try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            startRouter(upstream, true);
+            EventListener first = new EventListener();
+            submit(first);
+            upstream.setSoTimeout(60_000);
+            try (Socket used = upstream.accept()) {
+                readRequest(used);
+                used.getOutputStream().write(response("first"));
+                assertEquals(event("first"), first.events.get(60, TimeUnit.SECONDS));
+                stoppingClock.stopReaders();
+                used.getOutputStream().write(response("first"));
+                awaitReuse();
+                EventListener second = new EventListener();
+                submit(second);
+                // The request arrives on the used connection or a new one.
+                try (Socket asked = readableOf(used, upstream)) {
+                    readRequest(asked);
+                    stoppingClock.continueReaders();
+                    asked.getOutputStream().write(response("second"));
+                    assertEquals(event("second"), second.events.get(60, TimeUnit.SECONDS));
+                }
+            }
+        }
+    }
+
+    /** Waits for several times as long as a connection has to be quiet, by which time the bytes have arrived, too. */
+    private static void awaitReuse() throws InterruptedException {
+        Thread.sleep(5 * ResponseReader.QUIET_PERIOD_MICROS / 1000);
+    }
+
+    /** The connection on which the next request arrives: the used one, or a new one. */
+    private static Socket readableOf(Socket used, ServerSocket upstream) throws IOException {
+        upstream.setSoTimeout(1);
+        long end = System.nanoTime() + 60_000_000_000L;
+        while (used.getInputStream().available() == 0) {
+            assertTrue(System.nanoTime() < end, "no request arrived");
+            try {
+                return upstream.accept();
+            } catch (SocketTimeoutException e) {
+                // Not on a new connection so far.
+            }
+        }
+        return used;
+    }
+
+    private static void readRequest(Socket connection) throws IOException {
+        HttpReader input = new HttpReader(connection.getInputStream(), MonotonicClock.SYSTEM);
+        assertTrue(input.awaitMessage());
+        input.readBody(input.readRequestHead());
+    }
+
+    private static String event(String text) {
+        return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
+    }
+
+    private static byte[] response(String text) {
+        return ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(event(text).length()) + "\r\n" + event(text) + "\r\n0\r\n\r\n")
+                .getBytes(UTF_8);
+    }
+
+    /** Stops the threads that read from upstreams as they ask for the time, as if they got no processor time. */
+    private static final class ReaderStoppingClock implements MonotonicClock {
+        private boolean stopped;
+
+        synchronized void stopReaders() {
+            stopped = true;
+        }
+
+        synchronized void continueReaders() {
+            stopped = false;
+            notifyAll();
+        }
+
+        @Override
+        public long micros() {
+            if (Thread.currentThread().getName().startsWith("upstream-reader")) {
+                awaitReadersContinue();
+            }
+            return SYSTEM.micros();
+        }
+
+        private synchronized void awaitReadersContinue() {
+            while (stopped) {
+                try {
+                    wait();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+        }
+    }
+
+    /** The client's side of a stream: collects the events until the stream has ended. */
+    private final class EventListener implements StreamListener {
+        final CompletableFuture<String> events = new CompletableFuture<>();
+        private final StreamFlow flow = streams.openStream(0, -1, "1", () -> {});
+        private final StringBuilder received = new StringBuilder();
+
+        @Override
+        public void onEvent(byte[] event) {
+            received.append(new String(event, UTF_8));
+        }
+
+        @Override
+        public void onEnd() {
+            events.complete(received.toString());
+        }
+
+        @Override
+        public void onFailure(byte[] error, StreamOutcome outcome) {
+            events.completeExceptionally(new IOException("the stream broke: " + outcome));
+        }
+
+        @Override
+        public StreamFlow flow() {
+            return flow;
+        }
+    }
+
     /** Responds with one event, followed by the given last chunk, which is empty for an incomplete stream. */
     private static void respond(ServerSocket upstream, String lastChunk) throws IOException {
         upstream.setSoTimeout(60_000);
@@ -260,9 +389,9 @@
                         .getBytes(UTF_8),
                 "settings"));
         streams = new FlowController(
-                StreamLimitsReader.defaults(site.routing().classes(), 64 << 20), site, MonotonicClock.SYSTEM, eventLog);
-        pool = new UpstreamPool(site, 8, MonotonicClock.SYSTEM, eventLog, new ActorThreadPool(), streams);
-        dispatcher = new RequestDispatcher(site.routing(), 7, MonotonicClock.SYSTEM, pool, endpointSource, eventLog);
+                StreamLimitsReader.defaults(site.routing().classes(), 64 << 20), site, clock, eventLog);
+        pool = new UpstreamPool(site, 8, clock, eventLog, new ActorThreadPool(), streams);
+        dispatcher = new RequestDispatcher(site.routing(), 7, clock, pool, endpointSource, eventLog);
         pool.setDispatcher(dispatcher);
         dispatcherThread = DaemonThreads.newThread("dispatcher", dispatcher::run);
         dispatcherThread.start();
