Derive the phases of a shutdown from the deadlines in force, not from replaced ones

Cause: GracefulShutdown took the longest deadline of SiteSettings.routing().classes(). That is a table by index, in which a reload keeps every earlier definition for requests in flight, not the list of classes in force.

Change: SiteSettings.currentClasses() gives the classes in force. The phases are looked up at each step, so that a reload which SIGTERM follows at once counts too; it can only bring them forward. `stopping` logs finish_ms.

--- a/src/main/java/magpiehub/config/SiteSettings.java
+++ b/src/main/java/magpiehub/config/SiteSettings.java
@@ -36,6 +36,11 @@
         return classIndexes.getOrDefault(name, NONE);
     }
 
+    /** The request classes of the latest settings, without those that a reload has removed or changed. */
+    public List<RequestClass> currentClasses() {
+        return classIndexes.values().stream().map(routing.classes()::get).toList();
+    }
+
     /** The index of the tenant with this name; -1 if there is none. */
     public int tenantIndex(String name) {
         return tenantIndexes.getOrDefault(name, NONE);
--- a/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
+++ b/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
@@ -29,6 +29,8 @@
     private final SyslogEventLog log;
     private final ServiceAnnouncement announcement;
     private final AdminCommandHandler admin;
+    /** The phases so far; null before the shutdown has begun. */
+    private ShutdownPhases phases;
 
     /**
      * Creates a shutdown hook; nothing happens before it runs.
@@ -59,15 +61,15 @@
                     "held",
                     Integer.toString(dispatcher.openRequests()),
                     "succeeded",
-                    Boolean.toString(hasSuccessor));
-            ShutdownPhases phases =
-                    ShutdownPhases.forClasses(site.get().routing().classes());
+                    Boolean.toString(hasSuccessor),
+                    "finish_ms",
+                    Long.toString(currentPhases().finishMillis()));
             if (hasSuccessor) {
-                drainToSuccessor(phases);
+                drainToSuccessor();
             }
             // Deregisters before accepting ends, so that clients stop connecting first.
             announcement.withdraw();
-            finish(phases, hasSuccessor);
+            finish(hasSuccessor);
         } catch (IOException | InterruptedException e) {
             log.log("stop-failed", "error", e.toString());
         } finally {
@@ -80,20 +82,33 @@
         }
     }
 
+    /**
+     * The phases for the classes of the latest settings. A reload that is completed during the shutdown can only bring
+     * them forward: the time of the kill may follow from the new deadlines or from the earlier ones.
+     */
+    private ShutdownPhases currentPhases() {
+        ShutdownPhases latest = ShutdownPhases.forClasses(site.get().currentClasses());
+        if (phases == null || latest.finishMillis() < phases.finishMillis()) {
+            phases = latest;
+        }
+        return phases;
+    }
+
     /** Whether a newer process of this router accepts connections on the same listening socket. */
     private boolean hasSuccessor() {
         return admin != null && admin.hasSuccessor() && listeners.stream().anyMatch(ClientListener::hasSharedSocket);
     }
 
     /** Leaves new connections to the successor immediately, and drains the open ones to it gradually. */
-    private void drainToSuccessor(ShutdownPhases phases) throws IOException {
+    private void drainToSuccessor() throws IOException {
+        long keepIdleMicros = currentPhases().keepIdleMillis() * MICROS_PER_MILLI;
         for (ClientListener listener : listeners) {
             listener.stopAccepting();
-            listener.drainIdleConnections(MonotonicClock.SYSTEM.micros() + phases.keepIdleMillis() * MICROS_PER_MILLI);
+            listener.drainIdleConnections(MonotonicClock.SYSTEM.micros() + keepIdleMicros);
         }
     }
 
-    private void finish(ShutdownPhases phases, boolean hasSuccessor) throws IOException, InterruptedException {
+    private void finish(boolean hasSuccessor) throws IOException, InterruptedException {
         boolean accepting = true;
         boolean keepingIdle = !hasSuccessor;
         boolean awaitingRequests = true;
@@ -102,15 +117,16 @@
             Thread.sleep(POLL_PERIOD_MS);
             // Measured by the clock, since a process whose CPU quota is exhausted sleeps longer than requested.
             long elapsedMillis = (MonotonicClock.SYSTEM.micros() - startedAt) / MICROS_PER_MILLI;
-            if (accepting && elapsedMillis >= phases.acceptMillis()) {
+            ShutdownPhases current = currentPhases();
+            if (accepting && elapsedMillis >= current.acceptMillis()) {
                 accepting = false;
                 stopAccepting();
             }
-            if (keepingIdle && elapsedMillis >= phases.keepIdleMillis()) {
+            if (keepingIdle && elapsedMillis >= current.keepIdleMillis()) {
                 keepingIdle = false;
                 listeners.forEach(ClientListener::closeIdleConnections);
             }
-            if (awaitingRequests && elapsedMillis >= phases.finishMillis()) {
+            if (awaitingRequests && elapsedMillis >= current.finishMillis()) {
                 awaitingRequests = false;
                 dispatcher.shutDown(site.get().routing().resumesStreams());
             }
--- a/src/main/java/magpiehub/lifecycle/ShutdownPhases.java
+++ b/src/main/java/magpiehub/lifecycle/ShutdownPhases.java
@@ -26,8 +26,8 @@
     private static final int MICROS_PER_MILLI = 1000;
 
     /**
-     * The phases for these request classes. Idle connections are kept for half of the time, since another router may be
-     * down as well; the last requests on them have the other half to finish.
+     * The phases for these request classes, which are those in force. Idle connections are kept for half of the time,
+     * since another router may be down as well; the last requests on them have the other half to finish.
      */
     static ShutdownPhases forClasses(List<RequestClass> classes) {
         long longestDeadlineMillis = classes.stream()
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -8,15 +8,19 @@
 import java.io.InputStreamReader;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import magpiehub.concurrent.MonotonicClock;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The router as a process: it answers requests in flight before it ends on SIGTERM, and loads a new configuration on
@@ -237,6 +241,55 @@
         assertTrue(countersAfterSigterm(false).contains("answered_refused=\"1\" answered_served=\"1\""));
     }
 
+    /**
+     * Guards against a shutdown that lasts as long as deadlines allow which a reload has replaced by shorter ones: a
+     * request on a kept connection would be taken and killed with the process. The reload comes before SIGTERM or is
+     * still to be done by then.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void requestAfterAReloadToShorterDeadlinesIsAnsweredBeforeTheProcessMayBeKilled(boolean reloadedBefore)
+            throws Exception {
+        long longestDeadlineMs = 2_000;
+        try (RouterProcess router = newRouter()) {
+            router.start();
+            router.serveConnections(upstream -> {}); // Upstreams never answer.
+            try (Socket watch = router.acceptWatch()) {
+                int port = router.awaitListeningPort();
+                try (Socket client = connect(port)) {
+                    send(client, "GET /up HTTP/1.1\r\n\r\n");
+                    BufferedReader answers = reader(client);
+                    readUntil(answers, "up");
+                    router.replaceInConfiguration("\"deadlineMs\":4000", "\"deadlineMs\":" + longestDeadlineMs);
+                    router.sendSighup();
+                    if (reloadedBefore) {
+                        router.awaitLogLine(" reloaded ");
+                    }
+                    long killMicros = MonotonicClock.SYSTEM.micros() + (longestDeadlineMs + 700) * 1000;
+                    router.process().toHandle().destroy();
+                    MonotonicClock.SYSTEM.sleepUntil(killMicros - 1_200_000);
+                    client.setSoTimeout((int) (killMicros - MonotonicClock.SYSTEM.micros()) / 1000);
+                    String answer = answerOrEnd(client, answers);
+                    assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 503 "), answer);
+                }
+            }
+        }
+    }
+
+    /** Sends a request; returns the status line of its answer, or "" if the router closes the connection instead. */
+    private static String answerOrEnd(Socket client, BufferedReader answers) throws IOException {
+        try {
+            send(client, REQUEST);
+            String line = answers.readLine();
+            while (line != null && !line.startsWith("HTTP/1.1 ")) {
+                line = answers.readLine();
+            }
+            return line == null ? "" : line;
+        } catch (SocketException e) {
+            return "";
+        }
+    }
+
     @Test
     void requestsInFlightAtSigtermAreAnswered() throws Exception {
         assertTrue(countersAfterSigterm(true).contains("answered_served=\"2\""));
--- a/src/test/java/magpiehub/config/ConfigTest.java
+++ b/src/test/java/magpiehub/config/ConfigTest.java
@@ -16,6 +16,8 @@
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import magpiehub.routing.RequestClass;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -117,6 +119,16 @@
                 "the original definition gets its original index again");
     }
 
+    @Test
+    void classesOfEarlierSettingsAreNotCurrentAfterAReload() {
+        SiteSettings before = site("{'name':'a','deadlineMs':20000},{'name':'b','deadlineMs':2}");
+        SiteSettings after = before.updatedWith(site("{'name':'a','deadlineMs':9},{'name':'c','deadlineMs':3}"));
+        assertEquals(4, after.routing().classes().size(), "kept for requests in flight");
+        assertEquals(
+                Set.of(9_000L, 3_000L),
+                after.currentClasses().stream().map(RequestClass::deadline).collect(Collectors.toSet()));
+    }
+
     /**
      * Names of classes, tenants and models must come from the settings only, so none of the examples' is in the code.
      */
