Close a registry's connection on which bytes have come behind the last answer

Connections to etcd and Consul are kept between calls and were used again without a look, so that a second answer would have been taken for that of the next call, and every later one for that of the call after it. Found by reading, not seen in a run.

Nobody reads from these sockets between two calls, so a look at the reader's buffer and at the socket right before the next call is enough (RegistryConnection.isReusable); both callers ask it instead of isClosed.

--- a/src/main/java/magpiehub/discovery/RegistryCallChannel.java
+++ b/src/main/java/magpiehub/discovery/RegistryCallChannel.java
@@ -78,7 +78,7 @@
     /** Executes a call, and retries it once on a new connection if the server had closed the idle one. */
     private void executeWithRetry(RegistryCall call) throws IOException, InterruptedException {
         String endpoint = call.endpointAddress();
-        boolean reused = connection != null && connection.endpoint().equals(endpoint) && !connection.isClosed();
+        boolean reused = connection != null && connection.endpoint().equals(endpoint) && connection.isReusable();
         if (!reused) {
             closeConnection();
         }
--- a/src/main/java/magpiehub/discovery/RegistryConnection.java
+++ b/src/main/java/magpiehub/discovery/RegistryConnection.java
@@ -208,6 +208,18 @@
         return closed;
     }
 
+    /**
+     * Whether the next request may be sent on this connection. Bytes behind the last response would pass for the
+     * response to it. To be called by the thread that reads responses, between two requests.
+     */
+    boolean isReusable() {
+        try {
+            return !closed && input.isBufferEmpty() && socket.getInputStream().available() == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
--- a/src/main/java/magpiehub/discovery/RouterRegistration.java
+++ b/src/main/java/magpiehub/discovery/RouterRegistration.java
@@ -181,7 +181,7 @@
 
     private RegistryConnection connect(String endpoint) throws IOException {
         RegistryConnection current = connection;
-        if (current == null || current.isClosed() || !current.endpoint().equals(endpoint)) {
+        if (current == null || !current.isReusable() || !current.endpoint().equals(endpoint)) {
             if (current != null) {
                 current.close();
             }
