--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -307,9 +307,7 @@
     private static void respond(ServerSocket upstream, String lastChunk) throws IOException {
         upstream.setSoTimeout(60_000);
         try (Socket connection = upstream.accept()) {
-            HttpReader input = new HttpReader(connection.getInputStream(), MonotonicClock.SYSTEM);
-            assertTrue(input.awaitMessage());
-            input.readBody(input.readRequestHead());
+            readRequest(connection);
             String event = "data: {\"choices\":[]}\n\n";
             connection
                     .getOutputStream()
