--- a/review/support-2/src/Discovery.java
+++ b/review/support-2/src/Discovery.java
@@ -68,6 +68,12 @@
         rig.log("discovery: " + (waitMillis > 0 ? "crowded, calls fail after " + waitMillis + " ms" : "not crowded"));
     }
 
+    /** Takes no further connection; open ones stay. */
+    void stopAccepting() throws IOException {
+        server.close();
+        rig.log("discovery: takes no new connection");
+    }
+
     /** Resets all open watches. */
     void resetWatches() throws IOException {
         synchronized (watches) {
