Review: a bad client's close ends another client's open request

Cause: ClientMessageHandler.release reports the end of a client by the request's id alone, and RequestLifecycle.clientDisconnected closes whatever open request has that id, also that of another client.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,11 +2,11 @@
 # Runs the case; TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-if [ ! -f "$root/review/support-2/target/RegistrySilentAtRestartCase.class" ] || [ ! -f "$root/target/magpiehub.jar" ]; then
+if [ ! -f "$root/review/support-2/target/StoreEditCase.class" ] || [ ! -f "$root/target/magpiehub.jar" ]; then
     echo "not built" >&2
     exit 2
 fi
-timeout -k 2 115 java -Xmx128m -cp "$root/review/support-2/target" RegistrySilentAtRestartCase "$root" "$here"
+timeout -k 2 115 java -Xmx128m -cp "$root/review/support-2/target" StoreEditCase "$root" "$here"
 status=$?
 [ $status -le 1 ] || exit 2
 exit $status
--- a/review/support-2/src/Client.java
+++ b/review/support-2/src/Client.java
@@ -53,14 +53,23 @@
 
     /** Sends a request of the platform's protocol and reads its answer. */
     Answer request(String className, int budgetMillis, int timeoutMillis) throws IOException {
-        String id = newId();
+        return request(newId(), className, budgetMillis, timeoutMillis);
+    }
+
+    /** Sends a request with an id of the caller's choice and reads its answer. */
+    Answer request(String id, String className, int budgetMillis, int timeoutMillis) throws IOException {
+        return exchange(id, platformRequest(id, className, budgetMillis), timeoutMillis);
+    }
+
+    /** A request of the platform's protocol as it is written to the connection. */
+    static String platformRequest(String id, String className, int budgetMillis) {
         String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":400,\"messages\":[{\"role\":\"user\",\"content\":\"times of "
                 + id + "\"}]}";
         String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + id + "\r\nX-Call-Class: "
                 + className + "\r\nX-Caller: anping-harbour-rc\r\nX-Route-Hash: " + id + "\r\nX-Budget-Ms: " + budgetMillis
                 + "\r\nX-Call-Info: prompt_len=100,prefix_len=0,max_out=400\r\nContent-Type: application/json\r\nContent-Length: "
                 + body.length() + "\r\n\r\n";
-        return exchange(id, head + body, timeoutMillis);
+        return head + body;
     }
 
     /** Sends a request of the messages API, not streamed, and reads its answer. */
