Close only the leaving client's own request, not another one with its id

Cause: ClientDisconnected named the request's id alone, and the dispatcher closed whatever open request has that id. A request with an id in use counts as in progress on its connection until its refusal has got there; if the close is read first, the id that it names is the other client's.

Change: the message names the client as well, and only the request that this client submitted is closed. The same message is sent where a client leaves during a turn, and followed where a client had left before its request was handled: both are covered.

--- a/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
@@ -44,7 +44,7 @@
 
     @Override
     public void onClientDisconnected(DispatcherMessage.ClientDisconnected message) {
-        lifecycle.clientDisconnected(message.requestId());
+        lifecycle.clientDisconnected(message.requestId(), message.client());
     }
 
     @Override
--- a/src/main/java/magpiehub/dispatch/DispatcherMessage.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherMessage.java
@@ -45,8 +45,8 @@
         }
     }
 
-    /** The client of a request has closed its connection. */
-    record ClientDisconnected(String requestId) implements DispatcherMessage {
+    /** A client has closed its connection while its request was in progress there; the request may not be open. */
+    record ClientDisconnected(String requestId, ClientCallback client) implements DispatcherMessage {
         @Override
         public void deliverTo(Handler handler) {
             handler.onClientDisconnected(this);
--- a/src/main/java/magpiehub/dispatch/RequestDispatcher.java
+++ b/src/main/java/magpiehub/dispatch/RequestDispatcher.java
@@ -160,9 +160,12 @@
         return mailbox.post(new DispatcherMessage.RequestSubmitted(request, client, payload), bytes);
     }
 
-    /** Reports that the client of a request has closed its connection. */
-    public void clientDisconnected(String requestId) {
-        mailbox.post(new DispatcherMessage.ClientDisconnected(requestId));
+    /**
+     * Reports that a client has closed its connection. Only the request that it submitted itself is closed: an open
+     * request with the same id may be another client's.
+     */
+    public void clientDisconnected(String requestId, ClientCallback client) {
+        mailbox.post(new DispatcherMessage.ClientDisconnected(requestId, client));
     }
 
     /**
--- a/src/main/java/magpiehub/dispatch/RequestLifecycle.java
+++ b/src/main/java/magpiehub/dispatch/RequestLifecycle.java
@@ -92,7 +92,7 @@
         OpenRequest request = attempt.request();
         if (!request.isStreaming() && !request.isAnswered() && request.client().isClientDisconnected()) {
             // The ClientDisconnected message is still queued; handle it first, so that the policy does not retry.
-            clientDisconnected(request.id());
+            closeForDisconnectedClient(request);
         }
         boolean settled = request.isAnswered() || request.streaming() == attempt || outcome == AttemptOutcome.OK;
         eventLog.count("attempt_" + outcome.name().toLowerCase(Locale.ROOT));
@@ -120,14 +120,18 @@
         };
     }
 
-    /** Closes the request of a disconnected client and cancels its attempts, so that upstreams do no useless work. */
-    void clientDisconnected(String requestId) {
+    /** Closes the request of a disconnected client, unless the open request with this id is another client's. */
+    void clientDisconnected(String requestId, ClientCallback client) {
         OpenRequest request = requests.find(requestId);
-        if (request == null || request.isAnswered()) {
-            return;
+        if (request != null && request.client() == client) {
+            closeForDisconnectedClient(request);
         }
+    }
+
+    /** Closes an open request and cancels its attempts, so that upstreams do no useless work. */
+    private void closeForDisconnectedClient(OpenRequest request) {
         requests.close(request, RequestResult.ABANDONED);
-        policy.onClientDisconnected(clock.nowMicros(), requestId);
+        policy.onClientDisconnected(clock.nowMicros(), request.id());
         for (Attempt attempt : request.attempts()) {
             if (!attempt.isOver()) {
                 abortAndReport(attempt, AttemptOutcome.CANCELLED);
--- a/src/main/java/magpiehub/dispatch/RoutingActionExecutor.java
+++ b/src/main/java/magpiehub/dispatch/RoutingActionExecutor.java
@@ -51,7 +51,7 @@
         Attempt attempt = request.addAttempt(endpointId, clock.nowMicros(), deadlineMicros);
         if (request.client().isClientDisconnected()) {
             // The message is handled in a later turn, which also ends the attempt.
-            mailbox.post(new DispatcherMessage.ClientDisconnected(requestId));
+            mailbox.post(new DispatcherMessage.ClientDisconnected(requestId, request.client()));
             return;
         }
         eventLog.count("sent");
--- a/src/main/java/magpiehub/downstream/ClientMessageHandler.java
+++ b/src/main/java/magpiehub/downstream/ClientMessageHandler.java
@@ -102,7 +102,7 @@
         requests.releaseAll();
         endStreams(outcome);
         if (current != null) {
-            services.dispatcher().clientDisconnected(current.requestId());
+            services.dispatcher().clientDisconnected(current.requestId(), current);
         }
     }
 
--- a/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
+++ b/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import magpiehub.routing.AttemptOutcome;
 import magpiehub.routing.DeduplicationScope;
 import magpiehub.routing.Endpoint;
@@ -27,27 +29,7 @@
     private boolean clientDisconnectsDuringTurn;
     private int watches;
     private long now = 1_000_000;
-    private final ClientCallback client = new ClientCallback() {
-        @Override
-        public void reject(long retryAfterMicros) {
-            calls.add("reject at " + now + (retryAfterMicros > 0 ? "" : " without Retry-After"));
-        }
-
-        @Override
-        public void fail(String reason) {
-            calls.add("fail at " + now);
-        }
-
-        @Override
-        public void migrate() {
-            calls.add("migrate");
-        }
-
-        @Override
-        public boolean isClientDisconnected() {
-            return clientDisconnected;
-        }
-    };
+    private final ClientCallback client = new RecordingClient("", () -> clientDisconnected);
     private final UpstreamFleet fleet = new UpstreamFleet() {
         @Override
         public AttemptHandle startAttempt(Attempt attempt) {
@@ -102,6 +84,37 @@
         @Override
         public void log(String event, String... namesAndValues) {}
     };
+    /** Records the calls of one client, each with the client's name. */
+    private final class RecordingClient implements ClientCallback {
+        private final String prefix;
+        private final BooleanSupplier disconnected;
+
+        RecordingClient(String prefix, BooleanSupplier disconnected) {
+            this.prefix = prefix;
+            this.disconnected = disconnected;
+        }
+
+        @Override
+        public void reject(long retryAfterMicros) {
+            calls.add(prefix + "reject at " + now + (retryAfterMicros > 0 ? "" : " without Retry-After"));
+        }
+
+        @Override
+        public void fail(String reason) {
+            calls.add(prefix + "fail at " + now);
+        }
+
+        @Override
+        public void migrate() {
+            calls.add(prefix + "migrate");
+        }
+
+        @Override
+        public boolean isClientDisconnected() {
+            return disconnected.getAsBoolean();
+        }
+    }
+
     private RequestDispatcher dispatcher = newDispatcher(RoutingPolicyFixture.settings(1));
 
     private RequestDispatcher newDispatcher(RoutingSettings settings) {
@@ -137,12 +150,16 @@
         dispatcher.updateEndpoints(
                 EndpointListKind.SAVED,
                 Arrays.stream(endpointIds).map(RoutingPolicyFixture::endpoint).toList());
+        submit(client);
+        runTurns();
+    }
+
+    private void submit(ClientCallback submitter) {
         dispatcher.submit(
                 new RoutingRequest("r", 0, 0, 7, 0, now + 400_000, 0, 10, 0, 10, false, false, false),
-                client,
+                submitter,
                 "payload",
                 4);
-        runTurns();
     }
 
     @Test
@@ -207,7 +224,7 @@
         runTurns();
         dispatcher.streamStarted(attempts.get(0));
         dispatcher.attemptEnded(attempts.get(0), AttemptOutcome.OK, 5, null);
-        dispatcher.clientDisconnected("r");
+        dispatcher.clientDisconnected("r", client);
         runTurns();
         assertEquals(List.of("start a", "abort a", "reject at 1400000"), calls);
     }
@@ -225,7 +242,7 @@
         assertEquals(null, attempts.get(0).payload(), "a connection that is established now must not send the request");
         dispatcher.attemptEnded(attempts.get(0), AttemptOutcome.ERROR, -1, null);
         runTurns();
-        dispatcher.clientDisconnected("r");
+        dispatcher.clientDisconnected("r", client);
         runTurns();
         assertEquals(List.of("start " + first), calls, "no second attempt, and no answer");
         clientDisconnected = false;
@@ -233,6 +250,29 @@
         assertEquals(2, attempts.size(), "the id can be used again");
     }
 
+    /** Guards against lost requests: a client that sends another one's open id and leaves must not end that request. */
+    @Test
+    void aClientThatLeavesClosesOnlyItsOwnRequestAndNotAnotherOneWithItsId() throws InterruptedException {
+        AtomicBoolean otherDisconnected = new AtomicBoolean();
+        ClientCallback other = new RecordingClient("other ", otherDisconnected::get);
+        submitWithEndpoints("a");
+        submit(other);
+        dispatcher.clientDisconnected("r", other);
+        runTurns();
+        otherDisconnected.set(true);
+        submit(other);
+        dispatcher.clientDisconnected("r", other);
+        runTurns();
+        assertEquals(1, dispatcher.openRequests(), "the first client's request is still open");
+        dispatcher.streamStarted(attempts.get(0));
+        runTurns();
+        submit(other);
+        dispatcher.clientDisconnected("r", other);
+        runTurns();
+        assertEquals(1, dispatcher.openRequests(), "the first client's stream is still in progress");
+        assertEquals(List.of("start a", "other fail at 1000000", "startForwarding a"), calls);
+    }
+
     /** The client disconnects during the policy's turn: the action has no effect, and no attempt stays open. */
     @Test
     void actionsDecidedWhileTheClientDisconnectsAreNotExecuted() throws InterruptedException {
