Refuse a request whose id the routing policy still tracks for an answered one

A client that sends the id of an open request at the moment in which that one is answered waits until after its deadline; bad clients are owed an error in 3 s.

Cause: the dispatcher frees the id with the final answer, while the policy keeps the request until the ends of its cancelled attempts, which are still in the mailbox, have been handled. The policy ignores a request with an id that it has, and nobody decided on the second one.

Change: such an id counts as in use (RoutingPolicy.isTracking). A retry after an answer is not affected: the ends are posted before the client is called.

Test: RequestDispatcherTest.aRequestIsRefusedWhileThePolicyStillTracksOneWithItsId: before, the second client got no answer; now it passes.

--- a/src/main/java/magpiehub/dispatch/RequestLifecycle.java
+++ b/src/main/java/magpiehub/dispatch/RequestLifecycle.java
@@ -52,8 +52,8 @@
             eventLog.count(RequestResult.ABANDONED.counterName());
             return;
         }
-        if (requests.contains(request.id())) {
-            // The id belongs to another open request, whose client and upstream must not be confused with this one's.
+        if (requests.contains(request.id()) || policy.isTracking(request.id())) {
+            // The id belongs to another request, whose client and attempts must not be confused with this one's.
             eventLog.count(RequestResult.FAILED.counterName());
             eventLog.count("ids_in_use");
             client.fail("id in use");
--- a/src/main/java/magpiehub/routing/RoutingPolicy.java
+++ b/src/main/java/magpiehub/routing/RoutingPolicy.java
@@ -180,6 +180,11 @@
         }
     }
 
+    /** Returns whether a request with this id is open, or is finished and still has open attempts. */
+    public boolean isTracking(String id) {
+        return requests.containsKey(id);
+    }
+
     /** Returns whether a request may be rejected now, given the outcomes of its attempts so far. */
     public boolean mayReject(String id) {
         RequestInFlight request = requests.get(id);
--- a/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
+++ b/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
@@ -273,6 +273,22 @@
         assertEquals(List.of("start a", "other fail at 1000000", "startForwarding a"), calls);
     }
 
+    /** Guards against a request that the policy ignores, so that its client waits until after the deadline. */
+    @Test
+    void aRequestIsRefusedWhileThePolicyStillTracksOneWithItsId() throws InterruptedException {
+        policyFails = true;
+        submitWithEndpoints("a");
+        policyFails = false;
+        now += 404_000;
+        // Handled before the timer that answers the first request; the second one is handled right after that timer.
+        dispatcher.execute(() -> {});
+        submit(new RecordingClient("other ", () -> false));
+        runTurns();
+        assertEquals(List.of("fail at 1404000", "other fail at 1404000"), calls);
+        submitWithEndpoints("a");
+        assertEquals(1, attempts.size(), "the id can be used again");
+    }
+
     /** The client disconnects during the policy's turn: the action has no effect, and no attempt stays open. */
     @Test
     void actionsDecidedWhileTheClientDisconnectsAreNotExecuted() throws InterruptedException {
