Let a restarted replica of the store catch up before it takes an edit

Cause: LastWriteWinsStore began with counter 0 and gave an edit counter + 1 without having heard of any earlier write, its own included.

Change: a start fetches all entries from each peer (CatchUp), and an operator's write waits for that, for 1 s at most; so does the messages listener, so that a restarted router comes back with the models that it had. Timestamps come from a hybrid logical clock, which is above all that is known and not below the wall clock: it orders edits where no peer answers. Equal timestamps are ordered by value.

--- a/src/main/java/magpiehub/lifecycle/Router.java
+++ b/src/main/java/magpiehub/lifecycle/Router.java
@@ -1,6 +1,7 @@
 package magpiehub.lifecycle;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -107,11 +108,11 @@
         startReloader();
         DaemonThreads.newThread("module", dispatcher::run).start();
         warmUp();
+        KeyValueStore store = openStore();
         // The listener is opened only now: a request that waits in the accept backlog of a starting process loses time
         // that is not accounted for, since its deadline counts from when it was sent.
         ClientListener clients = openClientListener();
         MessagesSettings messagesSettings = MessagesSettings.read(MESSAGES_FILE);
-        KeyValueStore store = LastWriteWinsStore.fromFile(STORE_FILE, configuration.name(), clock, log);
         startMessagesListener(messagesSettings, store);
         ServiceAnnouncement announcement = new ServiceAnnouncement(configuration, registry, store, clock, log);
         signals.onTermination(new GracefulShutdown(listeners, dispatcher, site::get, log, announcement, admin));
@@ -234,6 +235,16 @@
         return addListener(socket, platformProtocol, connectionLimits.downstream());
     }
 
+    /** Opens the store; returns null if the installation has none. */
+    private KeyValueStore openStore() throws IOException {
+        try {
+            return LastWriteWinsStore.fromFile(STORE_FILE, configuration.name(), clock, log);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while the store caught up with its peers");
+        }
+    }
+
     private void startMessagesListener(MessagesSettings settings, KeyValueStore store) throws IOException {
         if (settings == null) {
             return;
--- a/src/main/java/magpiehub/store/LastWriteWinsStore.java
+++ b/src/main/java/magpiehub/store/LastWriteWinsStore.java
@@ -1,14 +1,18 @@
 package magpiehub.store;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.LongSupplier;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.config.ConfigurationException;
 import magpiehub.config.ConfigurationObject;
@@ -18,10 +22,14 @@
 /**
  * One replica of a key-value store that resolves conflicts by last write wins.
  *
- * <p>Every entry has a {@link LamportTimestamp}. Of two writes of a key, each replica keeps the one with the later
+ * <p>Every entry has a {@link HybridTimestamp}. Of two writes of a key, each replica keeps the one with the later
  * timestamp, in whatever order they arrive, so replicas that have received the same writes hold the same entries. There
  * is no consensus between replicas and no ordering between keys: of two concurrent writes of a key, one is lost on all
  * replicas. Entries are in memory only, and are lost once no replica is running.
+ *
+ * <p>A replica that starts knows neither the entries nor the counters of its earlier writes. It fetches both from its
+ * peers ({@link CatchUp}) before it takes an operator's write. If no peer answers, the wall clock still orders that
+ * write after those made before the start.
  */
 public final class LastWriteWinsStore implements KeyValueStore {
     private final String replicaName;
@@ -33,32 +41,46 @@
     private final List<PeerLink> links = new ArrayList<>();
 
     private final PeerListener listener;
-    /** The highest counter of the writes that this replica has made or received. Guarded by this. */
-    private long counter;
+    private final CatchUp catchUp;
+    /** Guarded by this. */
+    private final HybridClock hybridClock;
 
     private volatile boolean isClosed;
 
     /**
-     * Creates an empty replica and starts to accept connections.
+     * Creates a replica, and starts to accept connections, to fetch the peers' entries and to replicate to the peers.
      *
      * @param replicaName the name of this replica, unique among all replicas
+     * @param peers the addresses of the other replicas, as {@code host:port}
+     * @param wallClockMicros the time since the epoch in microseconds
      */
-    public LastWriteWinsStore(String replicaName, InetSocketAddress listenAddress, MonotonicClock clock, EventLog log)
+    LastWriteWinsStore(
+            String replicaName,
+            InetSocketAddress listenAddress,
+            List<String> peers,
+            MonotonicClock clock,
+            LongSupplier wallClockMicros,
+            EventLog log)
             throws IOException {
         this.replicaName = replicaName;
         this.clock = clock;
         this.log = log;
-        this.listener = new PeerListener(listenAddress, this::receive, log);
+        this.hybridClock = new HybridClock(wallClockMicros);
+        this.catchUp = new CatchUp(peers, write -> merge(write.key(), write.value()), clock, log);
+        this.listener = new PeerListener(listenAddress, new MessageReceiver(), log);
+        catchUp.start();
+        peers.forEach(this::addPeer);
     }
 
     /**
-     * Creates a replica with the settings of a file, and a link to each peer that the file names.
+     * Creates a replica with the settings of a file, and waits until it has caught up with its peers, but not longer
+     * than for a second.
      *
      * @return null if there is no such file, which means that the store is off
      * @throws ConfigurationException if the file is malformed
      */
     public static LastWriteWinsStore fromFile(Path file, String replicaName, MonotonicClock clock, EventLog log)
-            throws IOException {
+            throws IOException, InterruptedException {
         if (!Files.exists(file)) {
             return null;
         }
@@ -69,19 +91,33 @@
             throw new ConfigurationException(file.getFileName() + " gives no address in \"listen\"");
         }
         LastWriteWinsStore store = new LastWriteWinsStore(
-                replicaName, HostPort.toSocketAddress(HostPort.requireValid(listen)), clock, log);
-        object.texts("peers").forEach(store::addPeer);
+                replicaName,
+                HostPort.toSocketAddress(HostPort.requireValid(listen)),
+                object.texts("peers").stream().map(HostPort::requireValid).toList(),
+                clock,
+                LastWriteWinsStore::systemTimeMicros,
+                log);
+        store.awaitCaughtUp();
         return store;
     }
 
+    private static long systemTimeMicros() {
+        return ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    }
+
+    private void awaitCaughtUp() throws InterruptedException {
+        catchUp.await();
+        log.log("store-caught-up", "answered", Integer.toString(catchUp.answeredPeers()));
+    }
+
     /** The port on which the replica listens. */
     public int port() {
         return listener.port();
     }
 
     /** Starts to replicate all entries and writes to a peer, given as {@code host:port}. */
-    public void addPeer(String address) {
-        PeerLink link = new PeerLink(HostPort.requireValid(address), entries, () -> isClosed, clock, log);
+    void addPeer(String address) {
+        PeerLink link = new PeerLink(address, entries, () -> isClosed, clock, log);
         synchronized (this) {
             links.add(link);
         }
@@ -107,20 +143,30 @@
 
     @Override
     public synchronized void put(String key, String value) {
-        merge(key, new VersionedValue(value, new LamportTimestamp(counter + 1, replicaName)));
+        merge(key, new VersionedValue(value, new HybridTimestamp(hybridClock.next(), replicaName)));
     }
 
-    private void receive(StoreMessage message) {
-        if (message instanceof StoreMessage.ReplicatedWrite write) {
-            merge(write.key(), write.value());
-        } else if (message instanceof StoreMessage.OperatorWrite write) {
-            put(write.key(), write.value());
+    /** Handles the messages of peers and operators. */
+    private final class MessageReceiver implements PeerListener.Receiver {
+        @Override
+        public void receive(StoreMessage message) throws InterruptedException {
+            if (message instanceof StoreMessage.ReplicatedWrite write) {
+                merge(write.key(), write.value());
+            } else if (message instanceof StoreMessage.OperatorWrite write) {
+                catchUp.await();
+                put(write.key(), write.value());
+            }
+        }
+
+        @Override
+        public void sendSnapshot(OutputStream out) throws IOException {
+            SnapshotTransfer.send(entries, out);
         }
     }
 
     /** Applies a write if it is newer, and forwards it, since its origin may not be linked to all replicas. */
     private synchronized void merge(String key, VersionedValue write) {
-        counter = Math.max(counter, write.timestamp().counter());
+        hybridClock.observe(write.timestamp().counter());
         if (write.isNewerThan(entries.get(key))) {
             entries.put(key, write);
             byte[] line = StoreMessageCodec.encode(key, write);
--- a/src/main/java/magpiehub/store/PeerLink.java
+++ b/src/main/java/magpiehub/store/PeerLink.java
@@ -81,7 +81,7 @@
             // The queue is set before the entries are read, so that each later write is in one or the other.
             Mailbox<byte[]> newQueue = new Mailbox<>(clock, MAX_QUEUED_BYTES);
             queue = newQueue;
-            sendEntries(connection.getOutputStream());
+            SnapshotTransfer.sendEntries(entries, connection.getOutputStream());
             DaemonThreads.newThread("store-watch", () -> awaitDisconnect(connection, newQueue))
                     .start();
             log.count("store_links");
@@ -95,12 +95,6 @@
         }
     }
 
-    private void sendEntries(OutputStream out) throws IOException {
-        for (Map.Entry<String, VersionedValue> entry : entries.entrySet()) {
-            out.write(StoreMessageCodec.encode(entry.getKey(), entry.getValue()));
-        }
-    }
-
     private static void sendWrites(OutputStream out, Mailbox<byte[]> lines) throws IOException, InterruptedException {
         byte[] line = lines.take(Long.MAX_VALUE);
         while (line.length > 0) {
--- a/src/main/java/magpiehub/store/PeerListener.java
+++ b/src/main/java/magpiehub/store/PeerListener.java
@@ -1,15 +1,12 @@
 package magpiehub.store;
 
-import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Consumer;
 import magpiehub.concurrent.DaemonThreads;
 import magpiehub.http.Sockets;
 import magpiehub.telemetry.EventLog;
@@ -19,10 +16,17 @@
  * line closes the connection that sent it; other connections are not affected.
  */
 final class PeerListener {
-    private static final int READ_BUFFER_BYTES = 4096;
+    /** Handles the messages of all connections; called from several threads at once. */
+    interface Receiver {
+        /** Handles a message. It may block its connection. */
+        void receive(StoreMessage message) throws InterruptedException;
+
+        /** Sends all entries to a connection that has requested them. */
+        void sendSnapshot(OutputStream out) throws IOException;
+    }
 
     private final ServerSocket server = new ServerSocket();
-    private final Consumer<StoreMessage> receiver;
+    private final Receiver receiver;
     private final EventLog log;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final Thread acceptThread;
@@ -31,9 +35,9 @@
     /**
      * Binds the listener and starts to accept connections.
      *
-     * @param receiver receives each message; called from several threads at once
+     * @param receiver handles the messages
      */
-    PeerListener(InetSocketAddress listenAddress, Consumer<StoreMessage> receiver, EventLog log) throws IOException {
+    PeerListener(InetSocketAddress listenAddress, Receiver receiver, EventLog log) throws IOException {
         this.receiver = receiver;
         this.log = log;
         server.setReuseAddress(true);
@@ -64,32 +68,23 @@
 
     private void readMessages(Socket connection) {
         try (connection) {
-            InputStream in = new BufferedInputStream(connection.getInputStream(), READ_BUFFER_BYTES);
-            for (byte[] line = readLine(in); line != null; line = readLine(in)) {
-                receiver.accept(StoreMessageCodec.decode(line));
+            StoreMessageReader reader = new StoreMessageReader(connection.getInputStream());
+            for (StoreMessage message = reader.read(); message != null; message = reader.read()) {
+                if (message instanceof StoreMessage.SnapshotRequest) {
+                    receiver.sendSnapshot(connection.getOutputStream());
+                } else {
+                    receiver.receive(message);
+                }
             }
         } catch (IOException | RuntimeException | OutOfMemoryError e) {
             log.count("store_link_failures");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } finally {
             connections.remove(connection);
         }
     }
 
-    /** Returns the next line without its line feed; null at the end of the input. An incomplete line is dropped. */
-    private static byte[] readLine(InputStream in) throws IOException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b = in.read(); b >= 0; b = in.read()) {
-            if (b == '\n') {
-                return line.toByteArray();
-            }
-            line.write(b);
-            if (line.size() > StoreMessageCodec.MAX_LINE_BYTES) {
-                throw new IOException("line is longer than " + StoreMessageCodec.MAX_LINE_BYTES + " bytes");
-            }
-        }
-        return null;
-    }
-
     /** Closes the listener and all connections. The port is free once this returns. */
     void close() {
         isClosed = true;
--- a/src/main/java/magpiehub/store/StoreMessage.java
+++ b/src/main/java/magpiehub/store/StoreMessage.java
@@ -2,9 +2,6 @@
 
 /** A message that a replica of the store receives. */
 sealed interface StoreMessage {
-    /** The key of the write. */
-    String key();
-
     /** A write made by a replica, with its timestamp. */
     record ReplicatedWrite(String key, VersionedValue value) implements StoreMessage {}
 
@@ -14,4 +11,10 @@
      * @param value the new value; null removes the key
      */
     record OperatorWrite(String key, String value) implements StoreMessage {}
+
+    /** Requests all entries on the same connection: {@link ReplicatedWrite}s and then a {@link SnapshotEnd}. */
+    record SnapshotRequest() implements StoreMessage {}
+
+    /** All entries have been sent. */
+    record SnapshotEnd() implements StoreMessage {}
 }
--- a/src/test/java/magpiehub/store/KeyValueStoreTest.java
+++ b/src/test/java/magpiehub/store/KeyValueStoreTest.java
@@ -7,13 +7,18 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.telemetry.SyslogEventLog;
 import org.junit.jupiter.api.AfterEach;
@@ -21,18 +26,41 @@
 
 /** Tests replication and conflict resolution between replicas on loopback. */
 class KeyValueStoreTest {
+    private static final long SEED = 64;
+    private static final int EDITS = 300;
+    private static final int KEYS = 5;
+    private static final int EDITS_PER_RESTART = 30;
+
     private final List<LastWriteWinsStore> replicas = new ArrayList<>();
     private final SyslogEventLog log = new SyslogEventLog(System.err, "test", 1);
+    /** While it stands still, writes are ordered by the counters alone. */
+    private final AtomicLong wallClockMicros = new AtomicLong();
 
-    private LastWriteWinsStore replica(String name, int port) throws IOException {
+    private LastWriteWinsStore replica(String name, int port, LastWriteWinsStore... peers) throws IOException {
         LastWriteWinsStore replica = new LastWriteWinsStore(
-                name, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), MonotonicClock.SYSTEM, log);
+                name,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                Stream.of(peers).map(KeyValueStoreTest::address).toList(),
+                MonotonicClock.SYSTEM,
+                wallClockMicros::get,
+                log);
         replicas.add(replica);
         return replica;
     }
 
+    private static String address(LastWriteWinsStore replica) {
+        return "127.0.0.1:" + replica.port();
+    }
+
+    /** Closes a replica and starts it again, without entries. */
+    private LastWriteWinsStore restart(LastWriteWinsStore replica, String name, LastWriteWinsStore... peers)
+            throws IOException {
+        replica.close();
+        return replica(name, replica.port(), peers);
+    }
+
     private static void link(LastWriteWinsStore from, LastWriteWinsStore to) {
-        from.addPeer("127.0.0.1:" + to.port());
+        from.addPeer(address(to));
     }
 
     private static void await(BooleanSupplier condition) {
@@ -48,6 +76,16 @@
         }
     }
 
+    /** Sends an operator's write, and returns once the replica has applied it and closed the connection. */
+    private static void edit(LastWriteWinsStore replica, String key, String value) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), replica.port())) {
+            String line = "{\"key\":\"" + key + "\",\"value\":\"" + value + "\"}\n";
+            socket.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
+            socket.shutdownOutput();
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
     @AfterEach
     void closeReplicas() {
         replicas.forEach(LastWriteWinsStore::close);
@@ -107,6 +145,97 @@
         await(() -> "1".equals(restarted.get("k")));
     }
 
+    /** Guards against lost edits: a restarted replica must not give an edit a timestamp below that of an older one. */
+    @Test
+    void anEditAtARestartedReplicaReplacesOlderOnes() throws IOException {
+        LastWriteWinsStore a = replica("a", 0);
+        LastWriteWinsStore b = replica("b", 0, a);
+        link(a, b);
+        edit(b, "k", "first");
+        edit(b, "other", "1");
+        await(() -> "1".equals(a.get("other")));
+        LastWriteWinsStore restarted = restart(b, "b", a);
+        edit(restarted, "k", "second");
+        assertEquals("1", restarted.get("other"), "it has fetched the entries before it takes an edit");
+        await(() -> "second".equals(a.get("k")));
+        assertEquals("second", restarted.get("k"));
+    }
+
+    /** The same without a peer to ask: then the wall clock orders the edit after those made before the restart. */
+    @Test
+    void anEditAtAReplicaThatRestartsAloneReplacesOlderOnes() throws IOException {
+        LastWriteWinsStore a = replica("a", 0);
+        LastWriteWinsStore b = replica("b", 0);
+        link(b, a);
+        edit(b, "k", "first");
+        edit(b, "k", "second");
+        await(() -> "second".equals(a.get("k")));
+        wallClockMicros.set(1_000_000);
+        LastWriteWinsStore restarted = restart(b, "b");
+        edit(restarted, "k", "third");
+        link(restarted, a);
+        await(() -> "third".equals(a.get("k")));
+    }
+
+    /** A peer that accepts connections and never answers delays an edit, but does not prevent it. */
+    @Test
+    void anEditIsTakenAlthoughAPeerDoesNotAnswer() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            LastWriteWinsStore a = new LastWriteWinsStore(
+                    "a",
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    List.of("127.0.0.1:" + silent.getLocalPort()),
+                    MonotonicClock.SYSTEM,
+                    wallClockMicros::get,
+                    log);
+            replicas.add(a);
+            edit(a, "k", "1");
+            assertEquals("1", a.get("k"));
+        }
+    }
+
+    /** Guards against replicas that differ for good: the same timestamp, once before and once after a restart. */
+    @Test
+    void valuesWithEqualTimestampsConvergeInWhateverOrderTheyArrive() throws IOException {
+        LastWriteWinsStore a = replica("a", 0);
+        LastWriteWinsStore b = replica("b", 0);
+        String older = "{\"key\":\"k\",\"value\":\"older\",\"count\":\"1\",\"by\":\"z\"}\n";
+        String newer = "{\"key\":\"k\",\"value\":\"newer\",\"count\":\"1\",\"by\":\"z\"}\n";
+        String end = "{\"key\":\"end\",\"value\":\"1\",\"count\":\"1\",\"by\":\"z\"}";
+        send(a, older + newer + end);
+        send(b, newer + older + end);
+        await(() -> a.get("end") != null && b.get("end") != null);
+        assertEquals(a.get("k"), b.get("k"));
+    }
+
+    /** Edits at random replicas, one of which restarts again and again: the last edit of each key wins everywhere. */
+    @Test
+    void theLastEditOfEachKeyReachesAllReplicasAlthoughOneRestartsRepeatedly() throws IOException {
+        Random random = new Random(SEED);
+        Map<String, String> expected = new TreeMap<>();
+        LastWriteWinsStore a = replica("a", 0);
+        LastWriteWinsStore b = replica("b", 0, a);
+        link(a, b);
+        LastWriteWinsStore c = replica("c", 0, a, b);
+        link(a, c);
+        link(b, c);
+        for (int i = 0; i < EDITS; i++) {
+            String key = "k" + random.nextInt(KEYS);
+            String value = "v" + i;
+            boolean restarts = random.nextInt(EDITS_PER_RESTART) == 0;
+            c = restarts ? restart(c, "c", a, b) : c;
+            LastWriteWinsStore target = restarts ? c : List.of(a, b, c).get(random.nextInt(3));
+            edit(target, key, value);
+            expected.put(key, value);
+            // Later edits may be made at any replica: of two racing edits, either may win.
+            LastWriteWinsStore current = c;
+            await(() -> Stream.of(a, b, current).allMatch(replica -> value.equals(replica.get(key))));
+        }
+        for (LastWriteWinsStore replica : List.of(a, b, c)) {
+            assertEquals(expected, replica.entriesWithPrefix("k"));
+        }
+    }
+
     @Test
     void anOperatorsWriteGetsItsTimestampFromTheReplica() throws IOException {
         LastWriteWinsStore a = replica("a", 0);
--- a/src/test/java/magpiehub/store/StoreMessageCodecTest.java
+++ b/src/test/java/magpiehub/store/StoreMessageCodecTest.java
@@ -14,8 +14,8 @@
     private static final String RECORDED_REMOVAL = "{\"key\":\"router/1\",\"count\":\"3\",\"by\":\"router-1\"}";
 
     private static final VersionedValue WRITE =
-            new VersionedValue("\"quoted\" \u00fc", new LamportTimestamp(1, "router-1"));
-    private static final VersionedValue REMOVAL = new VersionedValue(null, new LamportTimestamp(3, "router-1"));
+            new VersionedValue("\"quoted\" \u00fc", new HybridTimestamp(1, "router-1"));
+    private static final VersionedValue REMOVAL = new VersionedValue(null, new HybridTimestamp(3, "router-1"));
 
     private static StoreMessage decode(String line) throws IOException {
         return StoreMessageCodec.decode(line.getBytes(UTF_8));
@@ -39,6 +39,15 @@
         assertEquals(new StoreMessage.OperatorWrite("k", null), decode("{\"key\":\"k\"}"));
     }
 
+    @Test
+    void snapshotMessagesAreDecodedAsTheyAreEncoded() throws IOException {
+        assertEquals("{\"snapshot\":\"request\"}\n", new String(StoreMessageCodec.encodeSnapshotRequest(), UTF_8));
+        assertEquals("{\"snapshot\":\"end\"}\n", new String(StoreMessageCodec.encodeSnapshotEnd(), UTF_8));
+        assertEquals(new StoreMessage.SnapshotRequest(), decode("{\"snapshot\":\"request\"}"));
+        assertEquals(new StoreMessage.SnapshotEnd(), decode("{\"snapshot\":\"end\"}"));
+        assertThrows(IOException.class, () -> decode("{\"snapshot\":\"other\"}"));
+    }
+
     @Test
     void malformedLinesAreRejected() {
         assertThrows(IOException.class, () -> decode("{\"value\":\"v\"}"));
