Write a repeat only while the replicas still recognize it

Cause: RetryPolicy.allowsAttempt compares the deduplication window with the time of the decision; the write comes up to connectTimeoutMs later, and RequestSender.writeRequest looked at everything again but the window.

Change: the policy gives each attempt the time before which it must be written: the end of the window if an earlier attempt may have run. The connection checks it right before the write, and the dispatcher ends an attempt that is not written completely by then, so a write that hangs half-way ends too. The outcome is MOOT: never executed, no evidence against the replica, no further attempt. Counter repeats_too_late.

Tests: UpstreamPoolTest.noRepeatIsWrittenAfterTheDeduplicationWindow (dispatcher free and held up) and RequestDispatcherTest.aRepeatThatIsNotWrittenWithinTheWindowEndsWithIt: without the two checks all three failed, now they pass. RandomEventsTest checks the deadline of every repeat. UpstreamPoolTest.assertNothingIsWritten serves health checks and requests.

--- a/src/main/java/magpiehub/dispatch/Attempt.java
+++ b/src/main/java/magpiehub/dispatch/Attempt.java
@@ -10,15 +10,24 @@
     private final String endpointId;
     private final long startedAtMicros;
     private final long deadlineMicros;
+    private final long writeDeadlineMicros;
+    private volatile boolean written;
     private AttemptHandle handle = AttemptHandle.NONE;
     private boolean over;
 
-    Attempt(OpenRequest request, int number, String endpointId, long startedAtMicros, long deadlineMicros) {
+    Attempt(
+            OpenRequest request,
+            int number,
+            String endpointId,
+            long startedAtMicros,
+            long deadlineMicros,
+            long writeDeadlineMicros) {
         this.request = request;
         this.number = number;
         this.endpointId = endpointId;
         this.startedAtMicros = startedAtMicros;
         this.deadlineMicros = deadlineMicros;
+        this.writeDeadlineMicros = writeDeadlineMicros;
     }
 
     /** The id of the endpoint that the attempt is sent to. */
@@ -34,6 +43,19 @@
         return deadlineMicros;
     }
 
+    /**
+     * The time, on the dispatcher's clock, from which the request must no longer be written: connecting may take longer
+     * than the upstreams recognize a request that one of them has executed.
+     */
+    public long writeDeadlineMicros() {
+        return writeDeadlineMicros;
+    }
+
+    /** Records that the request has been written completely. Called by the upstream side. */
+    public void markWritten() {
+        written = true;
+    }
+
     /**
      * The payload that was passed to {@link RequestDispatcher#submit}; null once the request has its final answer or
      * its client has disconnected. To be called immediately before the request is written to the upstream: the message
@@ -66,6 +88,10 @@
         return over;
     }
 
+    boolean isWritten() {
+        return written;
+    }
+
     void startForwarding() {
         handle.startForwarding();
     }
--- a/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
@@ -108,6 +108,11 @@
         lifecycle.attemptTimedOut(event.attempt());
     }
 
+    @Override
+    public void onWriteDeadlinePassed(TimerEvent.WriteDeadlinePassed event) {
+        lifecycle.writeDeadlinePassed(event.attempt());
+    }
+
     @Override
     public void onWatchRetryDue(TimerEvent.WatchRetryDue event) {
         watch.ensureOpen();
--- a/src/main/java/magpiehub/dispatch/OpenRequest.java
+++ b/src/main/java/magpiehub/dispatch/OpenRequest.java
@@ -48,9 +48,13 @@
         return attempts;
     }
 
-    /** Adds the next attempt, which times out at {@code deadlineMicros}. */
-    Attempt addAttempt(String endpointId, long nowMicros, long deadlineMicros) {
-        Attempt attempt = new Attempt(this, attempts.size(), endpointId, nowMicros, deadlineMicros);
+    /**
+     * Adds the next attempt, which times out at {@code deadlineMicros} and must not be written from {@code
+     * writeDeadlineMicros} on.
+     */
+    Attempt addAttempt(String endpointId, long nowMicros, long deadlineMicros, long writeDeadlineMicros) {
+        Attempt attempt =
+                new Attempt(this, attempts.size(), endpointId, nowMicros, deadlineMicros, writeDeadlineMicros);
         attempts.add(attempt);
         return attempt;
     }
--- a/src/main/java/magpiehub/dispatch/RequestLifecycle.java
+++ b/src/main/java/magpiehub/dispatch/RequestLifecycle.java
@@ -146,6 +146,14 @@
         }
     }
 
+    /** Ends an attempt whose request has not been written in time. */
+    void writeDeadlinePassed(Attempt attempt) {
+        if (!attempt.isOver() && !attempt.isWritten()) {
+            eventLog.count("repeats_too_late");
+            abortAndReport(attempt, AttemptOutcome.MOOT);
+        }
+    }
+
     private void abortAndReport(Attempt attempt, AttemptOutcome outcome) {
         attempt.abort();
         attemptEnded(attempt, outcome, RequestDispatcher.CACHED_TOKENS_UNKNOWN, null);
--- a/src/main/java/magpiehub/dispatch/RoutingActionExecutor.java
+++ b/src/main/java/magpiehub/dispatch/RoutingActionExecutor.java
@@ -40,7 +40,7 @@
     }
 
     @Override
-    public void sendAttempt(String requestId, String endpointId, long timeoutMicros) {
+    public void sendAttempt(String requestId, String endpointId, long timeoutMicros, long writeDeadlineMicros) {
         OpenRequest request = requests.find(requestId);
         if (request == null || request.isAnswered()) {
             return;
@@ -48,7 +48,7 @@
         // The request must never be in progress on two upstreams, regardless of the policy's decisions.
         requests.cancelAttempts(request);
         long deadlineMicros = attemptDeadlineMicros(request, timeoutMicros);
-        Attempt attempt = request.addAttempt(endpointId, clock.nowMicros(), deadlineMicros);
+        Attempt attempt = request.addAttempt(endpointId, clock.nowMicros(), deadlineMicros, writeDeadlineMicros);
         if (request.client().isClientDisconnected()) {
             // The message is handled in a later turn, which also ends the attempt.
             mailbox.post(new DispatcherMessage.ClientDisconnected(requestId, request.client()));
@@ -56,6 +56,9 @@
         }
         eventLog.count("sent");
         timers.schedule(deadlineMicros, new TimerEvent.AttemptTimedOut(attempt));
+        if (writeDeadlineMicros != NO_WRITE_DEADLINE) {
+            timers.schedule(writeDeadlineMicros, new TimerEvent.WriteDeadlinePassed(attempt));
+        }
         start(attempt);
     }
 
--- a/src/main/java/magpiehub/dispatch/TimerEvent.java
+++ b/src/main/java/magpiehub/dispatch/TimerEvent.java
@@ -11,6 +11,8 @@
 
         void onAttemptTimedOut(AttemptTimedOut event);
 
+        void onWriteDeadlinePassed(WriteDeadlinePassed event);
+
         void onWatchRetryDue(WatchRetryDue event);
 
         void onPolicyTimerDue(PolicyTimerDue event);
@@ -32,6 +34,14 @@
         }
     }
 
+    /** The time before which the attempt's request had to be written is over. */
+    record WriteDeadlinePassed(Attempt attempt) implements TimerEvent {
+        @Override
+        public void deliverTo(Handler handler) {
+            handler.onWriteDeadlinePassed(this);
+        }
+    }
+
     /** The failed watch on the endpoint list is to be reopened. */
     record WatchRetryDue() implements TimerEvent {
         @Override
--- a/src/main/java/magpiehub/routing/AttemptOutcome.java
+++ b/src/main/java/magpiehub/routing/AttemptOutcome.java
@@ -16,7 +16,7 @@
     RESET(false),
     /** Cancelled by this router or by its client. */
     CANCELLED(false),
-    /** Superseded: the request no longer needed the attempt before it was executed. */
+    /** Not executed, since the request no longer needed the attempt, or it could not be written in time. */
     MOOT(true),
     /** The response was malformed. */
     SPOILT(false);
--- a/src/main/java/magpiehub/routing/RetryPolicy.java
+++ b/src/main/java/magpiehub/routing/RetryPolicy.java
@@ -93,13 +93,25 @@
             return true;
         }
         return requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
-                && now - earlier.sentAt() < requestClass.deduplicationWindow()
+                && now < writeDeadline(request)
                 && recognizesRepeat(
                         requestClass.deduplicationScope(),
                         replica.endpoint(),
                         earlier.replica().endpoint());
     }
 
+    /**
+     * Returns the time before which the next attempt must be written: the end of the deduplication window if an earlier
+     * attempt may have been or may yet be executed. To be called before that attempt is added to the request.
+     */
+    long writeDeadline(RequestInFlight request) {
+        RequestClass requestClass = classOf(request);
+        Attempt earlier = request.earliestPossibleExecution();
+        return earlier == null || requestClass.idempotency() == Idempotency.IDEMPOTENT
+                ? RoutingActions.NO_WRITE_DEADLINE
+                : earlier.sentAt() + requestClass.deduplicationWindow();
+    }
+
     /** Returns whether one replica recognizes the key of a request that the other may have executed. */
     private static boolean recognizesRepeat(DeduplicationScope scope, Endpoint one, Endpoint other) {
         return switch (scope) {
--- a/src/main/java/magpiehub/routing/RoutingActions.java
+++ b/src/main/java/magpiehub/routing/RoutingActions.java
@@ -5,8 +5,16 @@
  * an event; the host must not call the policy from them. Times are in microseconds of the host's clock.
  */
 public interface RoutingActions {
-    /** Starts the next attempt of a request. With a timeout of 0, the attempt may last until the request's deadline. */
-    void sendAttempt(String id, String replica, long timeout);
+    /** The write deadline of an attempt that may be written at any time. */
+    long NO_WRITE_DEADLINE = Long.MAX_VALUE;
+
+    /**
+     * Starts the next attempt of a request. With a timeout of 0, the attempt may last until the request's deadline.
+     *
+     * @param writeDeadline the time before which the request must be written completely, or else not at all: later, the
+     *     replica might execute it although another one has; or {@link #NO_WRITE_DEADLINE}
+     */
+    void sendAttempt(String id, String replica, long timeout, long writeDeadline);
 
     /** Cancels an attempt, counted from 0. Its outcome is still reported. */
     void cancelAttempt(String id, int attempt);
--- a/src/main/java/magpiehub/routing/RoutingPolicy.java
+++ b/src/main/java/magpiehub/routing/RoutingPolicy.java
@@ -153,13 +153,14 @@
     }
 
     private void send(RequestInFlight request, Replica replica) {
+        long writeDeadline = retries.writeDeadline(request);
         Attempt attempt = new Attempt(replica, now);
         request.addAttempt(attempt);
         load.recordSent(attempt);
         traffic.recordAttempt(now);
         outliers.recordSent(attempt, now);
         slowStart.recordSent(replica);
-        actions.sendAttempt(request.id(), replica.id(), 0);
+        actions.sendAttempt(request.id(), replica.id(), 0, writeDeadline);
     }
 
     /** Gives the final answer if there is no further attempt: rejected if a retry is safe, otherwise failed. */
--- a/src/main/java/magpiehub/simulator/ReplyActions.java
+++ b/src/main/java/magpiehub/simulator/ReplyActions.java
@@ -12,8 +12,9 @@
         this.reply = reply;
     }
 
+    /** The simulator's protocol has no write deadline: there, an attempt is sent at the time of the decision. */
     @Override
-    public void sendAttempt(String requestId, String replicaId, long timeoutMicros) {
+    public void sendAttempt(String requestId, String replicaId, long timeoutMicros, long writeDeadlineMicros) {
         reply.add(new ReplyMessage.SendAttempt(instance, requestId, replicaId, timeoutMicros));
     }
 
--- a/src/main/java/magpiehub/upstream/RequestSender.java
+++ b/src/main/java/magpiehub/upstream/RequestSender.java
@@ -8,8 +8,8 @@
 
 /**
  * Sends the request of a connection's attempt, opening a socket if there is none. Immediately before it writes, it
- * checks that the endpoint still accepts requests and that the client is still connected. Confined to the connection's
- * actor.
+ * checks that the endpoint still accepts requests, that the client is still connected and that the request may still be
+ * written. Confined to the connection's actor.
  */
 final class RequestSender {
     private final UpstreamConnection connection;
@@ -101,11 +101,16 @@
         readers.execute(new ResponseReader(context, connection, newSocket, progress, socket.hostPort()));
     }
 
-    /** Writes the request, unless the endpoint is draining or the client has disconnected. */
+    /** Writes the request, unless the endpoint is draining, the client has disconnected or it is too late. */
     void writeRequest() {
         if (usableEndpoint() == null) {
             return;
         }
+        if (context.clock().micros() >= execution.attempt().writeDeadlineMicros()) {
+            log.writeDeadlinePassed();
+            execution.endBeforeStream(AttemptOutcome.MOOT);
+            return;
+        }
         if (!(execution.attempt().payload() instanceof ProtocolExchange exchange)) {
             execution.endBeforeStream(AttemptOutcome.CANCELLED);
             return;
@@ -118,6 +123,7 @@
             byte[] request = UpstreamRequest.encode(exchange, socket.hostPort(), timeLeftMicros);
             connection.recordRequest(execution.response().streamListener().flow());
             socket.write(request);
+            execution.attempt().markWritten();
         } catch (IOException e) {
             writeFailed(reused, e);
         }
--- a/src/main/java/magpiehub/upstream/UpstreamAttempt.java
+++ b/src/main/java/magpiehub/upstream/UpstreamAttempt.java
@@ -38,6 +38,16 @@
         return attempt.deadlineMicros();
     }
 
+    /** The time from which the request must no longer be written. */
+    long writeDeadlineMicros() {
+        return attempt.writeDeadlineMicros();
+    }
+
+    /** Records that the request has been written completely. */
+    void markWritten() {
+        attempt.markWritten();
+    }
+
     /** Sets the connection for the attempt. Called on the dispatcher's thread, before the attempt is started. */
     void assignTo(UpstreamConnection assignedConnection) {
         connection = assignedConnection;
--- a/src/test/java/magpiehub/discovery/platform/WatchSimulation.java
+++ b/src/test/java/magpiehub/discovery/platform/WatchSimulation.java
@@ -335,7 +335,7 @@
         }
 
         @Override
-        public void sendAttempt(String id, String endpoint, long timeout) {
+        public void sendAttempt(String id, String endpoint, long timeout, long writeDeadline) {
             sentTo.add(endpoint);
         }
     }
--- a/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
+++ b/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
@@ -12,6 +12,7 @@
 import magpiehub.routing.Endpoint;
 import magpiehub.routing.EndpointListKind;
 import magpiehub.routing.Idempotency;
+import magpiehub.routing.RoutingActions;
 import magpiehub.routing.RoutingLimits;
 import magpiehub.routing.RoutingPolicyFixture;
 import magpiehub.routing.RoutingRequest;
@@ -147,16 +148,24 @@
     }
 
     private void submitWithEndpoints(String... endpointIds) throws InterruptedException {
+        submitWithEndpoints(400_000, endpointIds);
+    }
+
+    private void submitWithEndpoints(long timeoutMicros, String... endpointIds) throws InterruptedException {
         dispatcher.updateEndpoints(
                 EndpointListKind.SAVED,
                 Arrays.stream(endpointIds).map(RoutingPolicyFixture::endpoint).toList());
-        submit(client);
+        submit(client, timeoutMicros);
         runTurns();
     }
 
     private void submit(ClientCallback submitter) {
+        submit(submitter, 400_000);
+    }
+
+    private void submit(ClientCallback submitter, long timeoutMicros) {
         dispatcher.submit(
-                new RoutingRequest("r", 0, 0, 7, 0, now + 400_000, 0, 10, 0, 10, false, false, false),
+                new RoutingRequest("r", 0, 0, 7, 0, now + timeoutMicros, 0, 10, 0, 10, false, false, false),
                 submitter,
                 "payload",
                 4);
@@ -302,6 +311,49 @@
         assertEquals(List.of("start a"), calls);
     }
 
+    /** Starts the repeat of a request that an upstream may have executed 2 s ago; the window ends after another 1 s. */
+    private Attempt startRepeat() throws InterruptedException {
+        dispatcher = newDispatcher(RoutingPolicyFixture.settings(
+                1, RoutingPolicyFixture.requestClass(Idempotency.IDEMPOTENT_WITH_KEY, DeduplicationScope.ALL)));
+        submitWithEndpoints(8_000_000, "a", "b");
+        now += 2_000_000;
+        dispatcher.attemptEnded(attempts.get(0), AttemptOutcome.RESET, -1, null);
+        runTurns();
+        assertEquals(2, attempts.size());
+        calls.clear();
+        return attempts.get(1);
+    }
+
+    /** Guards against duplicates: a connection that comes up late must not carry a repeat after the window. */
+    @Test
+    void aRepeatThatIsNotWrittenWithinTheWindowEndsWithIt() throws InterruptedException {
+        Attempt repeat = startRepeat();
+        assertEquals(4_000_000, repeat.writeDeadlineMicros());
+        now += 999_999;
+        runTurns();
+        assertEquals(List.of(), calls);
+        now += 1;
+        runTurns();
+        assertEquals(List.of("abort " + repeat.endpointId(), "reject at 4000000"), calls);
+    }
+
+    @Test
+    void aRepeatThatWasWrittenWithinTheWindowGoesOn() throws InterruptedException {
+        Attempt repeat = startRepeat();
+        repeat.markWritten();
+        now += 1_500_000;
+        runTurns();
+        dispatcher.streamStarted(repeat);
+        runTurns();
+        assertEquals(List.of("startForwarding " + repeat.endpointId()), calls);
+    }
+
+    @Test
+    void aFirstAttemptMayBeWrittenAtAnyTime() throws InterruptedException {
+        submitWithEndpoints("a");
+        assertEquals(RoutingActions.NO_WRITE_DEADLINE, attempts.get(0).writeDeadlineMicros());
+    }
+
     /** A request that was partly read at SIGTERM may complete during the shutdown; the process is killed soon after. */
     @Test
     void aRequestSubmittedAfterTheShutdownIsRejectedAndNotSent() throws InterruptedException {
--- a/src/test/java/magpiehub/routing/DecisionScenario.java
+++ b/src/test/java/magpiehub/routing/DecisionScenario.java
@@ -314,7 +314,7 @@
     }
 
     @Override
-    public void sendAttempt(String id, String replicaId, long timeout) {
+    public void sendAttempt(String id, String replicaId, long timeout, long writeDeadline) {
         record("send", id, replicaId, timeout);
         SimulatedRequest simulated = requestsById.get(id);
         SimulatedReplica replica = replicas.get(replicaId);
--- a/src/test/java/magpiehub/routing/PromptLengthFairnessTest.java
+++ b/src/test/java/magpiehub/routing/PromptLengthFairnessTest.java
@@ -117,7 +117,7 @@
         }
 
         @Override
-        public void sendAttempt(String id, String replica, long timeout) {
+        public void sendAttempt(String id, String replica, long timeout, long writeDeadline) {
             long sentAt = now;
             RoutingRequest r = open.get(id).request;
             long startsAt = Math.max(now, freeAt.getOrDefault(replica, 0L));
--- a/src/test/java/magpiehub/routing/QuietActions.java
+++ b/src/test/java/magpiehub/routing/QuietActions.java
@@ -3,7 +3,7 @@
 /** A host that ignores all actions; tests override the actions that they examine. */
 public class QuietActions implements RoutingActions {
     @Override
-    public void sendAttempt(String id, String replica, long timeout) {}
+    public void sendAttempt(String id, String replica, long timeout, long writeDeadline) {}
 
     @Override
     public void cancelAttempt(String id, int attempt) {}
--- a/src/test/java/magpiehub/routing/RandomEventsTest.java
+++ b/src/test/java/magpiehub/routing/RandomEventsTest.java
@@ -78,7 +78,7 @@
         }
 
         @Override
-        public void sendAttempt(String id, String replica, long timeout) {
+        public void sendAttempt(String id, String replica, long timeout, long writeDeadline) {
             TrackedRequest tracked = trackedRequests.get(id);
             assertNotNull(tracked, "sent an unknown request");
             assertFalse(tracked.finished, "sent after the final answer");
@@ -102,6 +102,9 @@
                 assertTrue(
                         now - tracked.sentAt.get(i) <= tracked.requestClass.deduplicationWindow(),
                         "after the deduplication window");
+                assertTrue(
+                        writeDeadline <= tracked.sentAt.get(i) + tracked.requestClass.deduplicationWindow(),
+                        "may be written after the deduplication window");
                 Endpoint earlier = lastEndpoints.get(tracked.replicas.get(i));
                 assertTrue(
                         tracked.requestClass.deduplicationScope() == DeduplicationScope.ALL
--- a/src/test/java/magpiehub/routing/RoutingPolicyFixture.java
+++ b/src/test/java/magpiehub/routing/RoutingPolicyFixture.java
@@ -167,7 +167,7 @@
     }
 
     @Override
-    public void sendAttempt(String id, String replica, long timeout) {
+    public void sendAttempt(String id, String replica, long timeout, long writeDeadline) {
         sent.add(new Sent(id, replica, now, timeout));
         attemptCounts.merge(id, 1, Integer::sum);
     }
--- a/src/test/java/magpiehub/routing/SlowStartFleetTest.java
+++ b/src/test/java/magpiehub/routing/SlowStartFleetTest.java
@@ -174,7 +174,7 @@
         }
 
         @Override
-        public void sendAttempt(String id, String replica, long timeout) {
+        public void sendAttempt(String id, String replica, long timeout, long writeDeadline) {
             fleet.sent.computeIfAbsent(replica, k -> new ArrayList<>()).add(fleet.now);
             int n = attemptCounts.merge(id, 1, Integer::sum) - 1;
             RoutingPolicy recipient = policy;
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -17,6 +17,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.DaemonThreads;
@@ -42,13 +43,18 @@
 import magpiehub.telemetry.SyslogEventLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Race conditions that recorded exchanges can't reproduce, such as a list update between routing and write. */
 class UpstreamPoolTest {
+    private static final int WINDOW_MILLIS = 2000;
+
     private final SyslogEventLog eventLog = new SyslogEventLog(System.err, "test", 1);
     private MonotonicClock clock = MonotonicClock.SYSTEM;
     private volatile CompletableFuture<String> answer = new CompletableFuture<>();
     private volatile boolean clientDisconnected;
+    private String effect = "\"effect\":\"pure\"";
     private Thread dispatcherThread;
     private SiteSettings site;
     private FlowController streams;
@@ -135,13 +141,58 @@
         }
     }
 
-    /** The health check was either connecting when the list expired, or had not opened a connection yet. */
+    /**
+     * Guards against duplicates: an upstream may have executed the request, and the connection for its repeat, decided
+     * within the deduplication window, comes up only after it. If the dispatcher is held up at the end of the window,
+     * the connection itself has to notice.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void noRepeatIsWrittenAfterTheDeduplicationWindow(boolean dispatcherHeldUp) throws Exception {
+        effect = "\"effect\":\"token\",\"group\":\"all\",\"windowMs\":" + WINDOW_MILLIS;
+        CountDownLatch dispatcherContinues = new CountDownLatch(dispatcherHeldUp ? 1 : 0);
+        try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+                ServerSocket slow = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                Socket first = new Socket();
+                Socket second = new Socket()) {
+            startRouter(upstream, true);
+            first.connect(slow.getLocalSocketAddress());
+            second.connect(slow.getLocalSocketAddress());
+            submit(new EventListener());
+            upstream.setSoTimeout(60_000);
+            try (Socket used = upstream.accept()) {
+                readRequest(used);
+                pool.updateEndpoint("f", "127.0.0.1:" + slow.getLocalPort(), true);
+                dispatcher.updateEndpoints(EndpointListKind.SAVED, List.of(endpoint("e"), endpoint("f")));
+                used.setSoLinger(true, 0);
+            }
+            awaitCounter("engine_connects 2\n");
+            dispatcher.execute(() -> awaitUninterruptibly(dispatcherContinues));
+            Thread.sleep(WINDOW_MILLIS);
+            slow.accept().close();
+            slow.accept().close();
+            assertNothingIsWritten(slow);
+            dispatcherContinues.countDown();
+            assertEquals("refused", answer.get(60, TimeUnit.SECONDS));
+            assertTrue(eventLog.counters().contains("repeats_too_late 1\n"), eventLog.counters());
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Accepts one more connection, if there is one, and checks that nothing comes on it. */
     private static void assertNothingIsWritten(ServerSocket upstream) throws IOException {
         upstream.setSoTimeout(300);
         try (Socket connection = upstream.accept()) {
-            assertEquals(-1, connection.getInputStream().read(), "a health check was sent");
+            assertEquals(-1, connection.getInputStream().read(), "something was written");
         } catch (SocketTimeoutException e) {
-            // The health check opened no connection.
+            // No connection was opened, or connecting was given up.
         }
     }
 
@@ -384,6 +435,7 @@
         site = SiteSettingsParser.parse(ConfigurationObject.parse(
                 Files.readString(Path.of("src/test/resources/site.json"))
                         .replace("\"connectTimeoutMs\":250", "\"connectTimeoutMs\":30000")
+                        .replace("\"effect\":\"pure\"", effect)
                         .getBytes(UTF_8),
                 "settings"));
         streams = new FlowController(
@@ -393,11 +445,14 @@
         pool.setDispatcher(dispatcher);
         dispatcherThread = DaemonThreads.newThread("dispatcher", dispatcher::run);
         dispatcherThread.start();
-        dispatcher.updateEndpoints(
-                EndpointListKind.SAVED, List.of(new Endpoint("e", 0, 0, 0, EndpointState.LIVE, 1, 0)));
+        dispatcher.updateEndpoints(EndpointListKind.SAVED, List.of(endpoint("e")));
         pool.updateEndpoint("e", "127.0.0.1:" + upstream.getLocalPort(), acceptsRequests);
     }
 
+    private static Endpoint endpoint(String id) {
+        return new Endpoint(id, 0, 0, 0, EndpointState.LIVE, 1, 0);
+    }
+
     /** Submits a request, always with the same id; false if the dispatcher's mailbox is full. */
     private boolean submit(StreamListener listener) {
         String text = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: chat\r\n"
