Begin no stream late in a shutdown whose client can't resume it

Cause: the phases of the shutdown keep idle connections for half of the time, and requests are taken until the final answers. That is right only where a stream may be ended for its client to ask for the rest elsewhere; nothing told those clients apart.

Change: whether a stream can be resumed belongs to the request (ProtocolExchange and ClientCallback.resumesStream) and to the listener's protocol. From 0.5 s after the signal on the dispatcher rejects requests whose streams can't be resumed, and their listeners close idle connections; an upgrade has closed them by then. Owed is an answer to what comes after 0.7 s. Clients that resume see no change.

--- a/src/main/java/magpiehub/dispatch/ClientCallback.java
+++ b/src/main/java/magpiehub/dispatch/ClientCallback.java
@@ -18,6 +18,9 @@
     /** Ends a response stream in progress so that the client resumes it on another upstream. */
     void migrate();
 
+    /** Whether the client requests the rest of its stream if that ends before it is complete. */
+    boolean resumesStream();
+
     /**
      * Whether the client has closed its connection. True as soon as the end of its input has been read, which is before
      * the dispatcher handles {@link RequestDispatcher#clientDisconnected}. Thread-safe.
--- a/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherEventHandler.java
@@ -88,6 +88,11 @@
         watch.ensureOpen();
     }
 
+    @Override
+    public void onShutdownAnnounced(DispatcherMessage.ShutdownAnnounced message) {
+        lifecycle.rejectUnresumableRequests();
+    }
+
     @Override
     public void onShutdownRequested(DispatcherMessage.ShutdownRequested message) {
         shutdown.begin(message.migrateStreams());
--- a/src/main/java/magpiehub/dispatch/DispatcherMessage.java
+++ b/src/main/java/magpiehub/dispatch/DispatcherMessage.java
@@ -31,6 +31,8 @@
 
         void onSettingsUpdated(SettingsUpdated message);
 
+        void onShutdownAnnounced(ShutdownAnnounced message);
+
         void onShutdownRequested(ShutdownRequested message);
 
         void onTaskSubmitted(TaskSubmitted message);
@@ -108,6 +110,14 @@
         }
     }
 
+    /** The process will shut down before a stream that starts now can be expected to be complete. */
+    record ShutdownAnnounced() implements DispatcherMessage {
+        @Override
+        public void deliverTo(Handler handler) {
+            handler.onShutdownAnnounced(this);
+        }
+    }
+
     /** The process is shutting down. */
     record ShutdownRequested(boolean migrateStreams) implements DispatcherMessage {
         @Override
--- a/src/main/java/magpiehub/dispatch/RequestDispatcher.java
+++ b/src/main/java/magpiehub/dispatch/RequestDispatcher.java
@@ -216,6 +216,14 @@
         mailbox.post(new DispatcherMessage.TaskSubmitted(task));
     }
 
+    /**
+     * Announces {@link #shutDown}. Requests submitted later are rejected if their clients do not resume a stream that
+     * ends early: their streams may still be in progress when the process is killed.
+     */
+    public void announceShutdown() {
+        mailbox.post(new DispatcherMessage.ShutdownAnnounced());
+    }
+
     /**
      * Prepares for a shutdown of the process. Requests whose response stream has not started, and those submitted
      * later, are answered immediately.
--- a/src/main/java/magpiehub/dispatch/RequestLifecycle.java
+++ b/src/main/java/magpiehub/dispatch/RequestLifecycle.java
@@ -26,6 +26,7 @@
     private final RoutingPolicy policy;
     private final EventLog eventLog;
     private boolean shuttingDown;
+    private boolean rejectsUnresumable;
 
     RequestLifecycle(
             RequestTable requests,
@@ -45,6 +46,11 @@
         shuttingDown = true;
     }
 
+    /** Rejects all further requests whose streams can't be resumed elsewhere. */
+    void rejectUnresumableRequests() {
+        rejectsUnresumable = true;
+    }
+
     /** Admits a request and passes it to the policy, or answers it immediately. */
     void submit(RoutingRequest request, ClientCallback client, Object payload) {
         if (client.isClientDisconnected()) {
@@ -59,7 +65,7 @@
             client.fail("id in use");
             return;
         }
-        if (requests.isFull() || shuttingDown) {
+        if (requests.isFull() || shuttingDown || (rejectsUnresumable && !client.resumesStream())) {
             eventLog.count(RequestResult.REJECTED.counterName());
             client.reject(requests.defaultRetryAfterMicros());
             return;
--- a/src/main/java/magpiehub/downstream/ClientExchange.java
+++ b/src/main/java/magpiehub/downstream/ClientExchange.java
@@ -63,6 +63,11 @@
         connection.post(new ClientMessage.StreamFailed(this, null, StreamOutcome.MIGRATED), 0);
     }
 
+    @Override
+    public boolean resumesStream() {
+        return protocolExchange.resumesStream();
+    }
+
     @Override
     public boolean isClientDisconnected() {
         return connection.isClientDisconnected();
--- a/src/main/java/magpiehub/downstream/ClientListener.java
+++ b/src/main/java/magpiehub/downstream/ClientListener.java
@@ -26,6 +26,7 @@
     private static final int MAILBOX_BYTES = 512 * 1024;
 
     private final ListenerSocket listenerSocket;
+    private final ProtocolAdapter protocol;
     private final MonotonicClock clock;
     private final OpenConnections connections;
     private final DrainState drain;
@@ -54,6 +55,7 @@
             FlowController streams) {
         ConnectionCapacity capacity = new ConnectionCapacity(maxConnections);
         this.listenerSocket = listenerSocket;
+        this.protocol = protocol;
         this.clock = clock;
         this.connections = new OpenConnections(capacity);
         this.drain = new DrainState(clock);
@@ -96,6 +98,11 @@
         drain.setStandby(standby);
     }
 
+    /** Whether the listener's clients request the rest of a stream that ends before it is complete. */
+    public boolean resumesStreams() {
+        return protocol.resumesStreams();
+    }
+
     /** Whether another process accepts the connections that this one leaves in the socket's accept queue. */
     public boolean hasSharedSocket() {
         return listenerSocket.isShared();
--- a/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
+++ b/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
@@ -101,15 +101,18 @@
 
     /** Leaves new connections to the successor immediately, and drains the open ones to it gradually. */
     private void drainToSuccessor() throws IOException {
-        long keepIdleMicros = currentPhases().keepIdleMillis() * MICROS_PER_MILLI;
+        ShutdownPhases current = currentPhases();
         for (ClientListener listener : listeners) {
+            long keepIdleMillis =
+                    listener.resumesStreams() ? current.keepIdleMillis() : current.admitUnresumableMillis();
             listener.stopAccepting();
-            listener.drainIdleConnections(MonotonicClock.SYSTEM.micros() + keepIdleMicros);
+            listener.drainIdleConnections(MonotonicClock.SYSTEM.micros() + keepIdleMillis * MICROS_PER_MILLI);
         }
     }
 
     private void finish(boolean hasSuccessor) throws IOException, InterruptedException {
         boolean accepting = true;
+        boolean admittingUnresumable = true;
         boolean keepingIdle = !hasSuccessor;
         boolean awaitingRequests = true;
         long startedAt = MonotonicClock.SYSTEM.micros();
@@ -122,6 +125,10 @@
                 accepting = false;
                 stopAccepting();
             }
+            if (admittingUnresumable && elapsedMillis >= current.admitUnresumableMillis()) {
+                admittingUnresumable = false;
+                rejectUnresumableRequests();
+            }
             if (keepingIdle && elapsedMillis >= current.keepIdleMillis()) {
                 keepingIdle = false;
                 listeners.forEach(ClientListener::closeIdleConnections);
@@ -136,6 +143,12 @@
         }
     }
 
+    /** Rejects requests whose streams can't be resumed, and closes the idle connections on which they would come. */
+    private void rejectUnresumableRequests() {
+        dispatcher.announceShutdown();
+        listeners.stream().filter(listener -> !listener.resumesStreams()).forEach(ClientListener::closeIdleConnections);
+    }
+
     private boolean hasOpenConnections() {
         return listeners.stream().anyMatch(listener -> listener.openConnections() > 0);
     }
--- a/src/main/java/magpiehub/protocol/PlatformExchange.java
+++ b/src/main/java/magpiehub/protocol/PlatformExchange.java
@@ -7,10 +7,23 @@
 /** An exchange of the platform's protocol: forwards the upstream's events unchanged, one chunk each. */
 final class PlatformExchange extends ProtocolExchange {
     private final PlatformProtocol protocol;
-
-    PlatformExchange(PlatformProtocol protocol, RoutingRequest request, String target, byte[] headers, byte[] body) {
+    private final boolean resumesStream;
+
+    PlatformExchange(
+            PlatformProtocol protocol,
+            RoutingRequest request,
+            String target,
+            byte[] headers,
+            byte[] body,
+            boolean resumesStream) {
         super(request, target, headers, body);
         this.protocol = protocol;
+        this.resumesStream = resumesStream;
+    }
+
+    @Override
+    public boolean resumesStream() {
+        return resumesStream;
     }
 
     @Override
--- a/src/main/java/magpiehub/protocol/PlatformProtocol.java
+++ b/src/main/java/magpiehub/protocol/PlatformProtocol.java
@@ -49,9 +49,16 @@
     public ProtocolExchange readRequest(HttpHead head, byte[] body, long receivedAtMicros) throws HttpException {
         String target = RequestValidation.requirePost(head, PATH);
         RequestValidation.requireJsonObject(body);
-        RoutingRequest request = parseHeaders(site.get(), head, receivedAtMicros);
+        SiteSettings current = site.get();
+        RoutingRequest request = parseHeaders(current, head, receivedAtMicros);
         byte[] headers = head.headers().endToEndLines(name -> !ROUTER_HEADERS.contains(name));
-        return new PlatformExchange(this, request, target, headers, body);
+        boolean resumesStream = current.routing().resumesStreams();
+        return new PlatformExchange(this, request, target, headers, body, resumesStream);
+    }
+
+    @Override
+    public boolean resumesStreams() {
+        return site.get().routing().resumesStreams();
     }
 
     private static RoutingRequest parseHeaders(SiteSettings site, HttpHead head, long receivedAtMicros)
--- a/src/main/java/magpiehub/protocol/ProtocolAdapter.java
+++ b/src/main/java/magpiehub/protocol/ProtocolAdapter.java
@@ -22,6 +22,11 @@
         return false;
     }
 
+    /** Whether clients of this protocol request the rest of a stream that ends before it is complete. */
+    default boolean resumesStreams() {
+        return false;
+    }
+
     /**
      * Writes a complete error response.
      *
--- a/src/main/java/magpiehub/protocol/ProtocolExchange.java
+++ b/src/main/java/magpiehub/protocol/ProtocolExchange.java
@@ -48,6 +48,11 @@
         return body;
     }
 
+    /** Whether the client requests the rest of this stream if it ends before it is complete. */
+    public boolean resumesStream() {
+        return false;
+    }
+
     /** The listener for the events of the upstream's stream. */
     public final StreamListener streamListener() {
         return streamListener;
--- a/src/test/java/magpiehub/RouterProcess.java
+++ b/src/test/java/magpiehub/RouterProcess.java
@@ -50,6 +50,7 @@
         return thread;
     });
 
+    private Path workingDirectory = Path.of("").toAbsolutePath();
     private Process process;
     private BufferedReader log;
 
@@ -103,13 +104,18 @@
         Files.writeString(config, configuration().replace(part, replacement));
     }
 
+    /** Sets the folder in which the router is started, and looks for {@code deploy/}. */
+    void setWorkingDirectory(Path folder) {
+        workingDirectory = folder;
+    }
+
     void start() throws IOException {
         start(COMMAND);
     }
 
     /** Starts the router by a command; like the platform, sets discovery's address in an environment variable too. */
     void start(List<String> command) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(command);
+        ProcessBuilder builder = new ProcessBuilder(command).directory(workingDirectory.toFile());
         builder.environment().put("ROUTER_CONFIG", config.toString());
         builder.environment().keySet().removeAll(List.of("ROUTER_LISTEN", "ROUTER_NAME"));
         builder.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.getLocalPort());
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -269,7 +269,7 @@
                     router.process().toHandle().destroy();
                     MonotonicClock.SYSTEM.sleepUntil(killMicros - 1_200_000);
                     client.setSoTimeout((int) (killMicros - MonotonicClock.SYSTEM.micros()) / 1000);
-                    String answer = answerOrEnd(client, answers);
+                    String answer = answerOrEnd(client, answers, REQUEST);
                     assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 503 "), answer);
                 }
             }
@@ -277,9 +277,9 @@
     }
 
     /** Sends a request; returns the status line of its answer, or "" if the router closes the connection instead. */
-    private static String answerOrEnd(Socket client, BufferedReader answers) throws IOException {
+    static String answerOrEnd(Socket client, BufferedReader answers, String request) throws IOException {
         try {
-            send(client, REQUEST);
+            send(client, request);
             String line = answers.readLine();
             while (line != null && !line.startsWith("HTTP/1.1 ")) {
                 line = answers.readLine();
--- a/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
+++ b/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
@@ -28,6 +28,7 @@
     private boolean policyFails;
     private boolean clientDisconnected;
     private boolean clientDisconnectsDuringTurn;
+    private boolean clientsResume = true;
     private int watches;
     private long now = 1_000_000;
     private final ClientCallback client = new RecordingClient("", () -> clientDisconnected);
@@ -110,6 +111,11 @@
             calls.add(prefix + "migrate");
         }
 
+        @Override
+        public boolean resumesStream() {
+            return clientsResume;
+        }
+
         @Override
         public boolean isClientDisconnected() {
             return disconnected.getAsBoolean();
@@ -363,6 +369,21 @@
         assertEquals(0, dispatcher.openRequests());
     }
 
+    /** Guards against streams that SIGKILL cuts: nobody would ask for the rest. */
+    @Test
+    void afterTheAnnouncementOfTheShutdownOnlyRequestsWithResumableStreamsAreAdmitted() throws InterruptedException {
+        dispatcher.announceShutdown();
+        submitWithEndpoints("a");
+        assertEquals(List.of("start a"), calls);
+        dispatcher.streamStarted(attempts.get(0));
+        dispatcher.attemptEnded(attempts.get(0), AttemptOutcome.OK, -1, null);
+        runTurns();
+        calls.clear();
+        clientsResume = false;
+        submitWithEndpoints("a");
+        assertEquals(List.of("reject at 1000000"), calls);
+    }
+
     /** A request that may have had side effects must not be rejected, since clients retry rejected requests. */
     @Test
     void atTheShutdownOnlyRequestsThatAreSafeToRetryAreRejected() throws InterruptedException {
--- a/src/test/java/magpiehub/lifecycle/GracefulShutdownTest.java
+++ b/src/test/java/magpiehub/lifecycle/GracefulShutdownTest.java
@@ -19,10 +19,11 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"300, 600, 700", "1000, 700, 1400", "3000, 1700, 3400", "20000, 1700, 3400"})
-    void theLongestDeadlineCountsUpToThreeSeconds(long deadline, long keep, long finish) {
+    @CsvSource({"300, 500, 600, 700", "1000, 500, 700, 1400", "3000, 500, 1700, 3400", "20000, 500, 1700, 3400"})
+    void theLongestDeadlineCountsUpToThreeSeconds(long deadline, long admit, long keep, long finish) {
         ShutdownPhases phases = ShutdownPhases.forClasses(List.of(withDeadline(100), withDeadline(deadline)));
-        assertEquals(new ShutdownPhases(600, keep, finish), phases);
+        assertEquals(new ShutdownPhases(600, admit, keep, finish), phases);
+        assertTrue(phases.admitUnresumableMillis() < 700, "a request that is admitted later must be answered");
         assertTrue(
                 phases.finishMillis() < Math.min(3000, deadline) + 700,
                 "the last phase ends after the process is killed");
@@ -30,6 +31,6 @@
 
     @Test
     void aSiteWithoutClassesHasTheLongestPhases() {
-        assertEquals(new ShutdownPhases(600, 1700, 3400), ShutdownPhases.forClasses(List.of()));
+        assertEquals(new ShutdownPhases(600, 500, 1700, 3400), ShutdownPhases.forClasses(List.of()));
     }
 }
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -414,6 +414,11 @@
             answer.complete("moved");
         }
 
+        @Override
+        public boolean resumesStream() {
+            return true;
+        }
+
         @Override
         public boolean isClientDisconnected() {
             return clientDisconnected;
