Count the phases of a shutdown from the signal, not from the withdrawal's end

Cause: GracefulShutdown waited for ServiceAnnouncement.withdraw, up to 0.6 s, before it began to measure; the final answers are due 0.3 s before the kill.

Change: the phases count from the start of the shutdown hook. The withdrawal runs on a thread of its own beside them and is waited for at the end; without memory for the thread it runs where it did.

Test: ServeRegistryTest.aRequestIsAnsweredBeforeTheKillAlthoughTheRegistryDoesNotAnswer holds the registry back from before SIGTERM, with a renewal in progress: on the commit before the read timed out at the kill, now the request is refused in time.

--- a/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
+++ b/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import magpiehub.admin.AdminCommandHandler;
+import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.config.SiteSettings;
 import magpiehub.dispatch.RequestDispatcher;
@@ -54,6 +55,7 @@
 
     @Override
     public void run() {
+        long startedAtMicros = MonotonicClock.SYSTEM.micros();
         try {
             boolean hasSuccessor = hasSuccessor();
             log.log(
@@ -65,11 +67,11 @@
                     "finish_ms",
                     Long.toString(currentPhases().finishMillis()));
             if (hasSuccessor) {
-                drainToSuccessor();
+                drainToSuccessor(startedAtMicros);
             }
-            // Deregisters before accepting ends, so that clients stop connecting first.
-            announcement.withdraw();
-            finish(hasSuccessor);
+            Thread withdrawal = startWithdrawal();
+            finish(hasSuccessor, startedAtMicros);
+            withdrawal.join();
         } catch (IOException | InterruptedException e) {
             log.log("stop-failed", "error", e.toString());
         } finally {
@@ -100,26 +102,48 @@
     }
 
     /** Leaves new connections to the successor immediately, and drains the open ones to it gradually. */
-    private void drainToSuccessor() throws IOException {
+    private void drainToSuccessor(long startedAtMicros) throws IOException {
         ShutdownPhases current = currentPhases();
         for (ClientListener listener : listeners) {
             long keepIdleMillis =
                     listener.resumesStreams() ? current.keepIdleMillis() : current.admitUnresumableMillis();
             listener.stopAccepting();
-            listener.drainIdleConnections(MonotonicClock.SYSTEM.micros() + keepIdleMillis * MICROS_PER_MILLI);
+            listener.drainIdleConnections(startedAtMicros + keepIdleMillis * MICROS_PER_MILLI);
+        }
+    }
+
+    /**
+     * Withdraws the announcement while new connections are still accepted, so that clients stop connecting first. This
+     * may block where the registry does not answer, so it has a thread of its own: the time of the kill counts from the
+     * signal. Without memory for a thread, the caller blocks.
+     */
+    private Thread startWithdrawal() {
+        Thread withdrawal = DaemonThreads.newThread("withdrawal", this::withdraw);
+        try {
+            withdrawal.start();
+        } catch (OutOfMemoryError e) {
+            withdraw();
+        }
+        return withdrawal;
+    }
+
+    private void withdraw() {
+        try {
+            announcement.withdraw();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
-    private void finish(boolean hasSuccessor) throws IOException, InterruptedException {
+    private void finish(boolean hasSuccessor, long startedAtMicros) throws IOException, InterruptedException {
         boolean accepting = true;
         boolean admittingUnresumable = true;
         boolean keepingIdle = !hasSuccessor;
         boolean awaitingRequests = true;
-        long startedAt = MonotonicClock.SYSTEM.micros();
         while (accepting || hasOpenConnections()) {
             Thread.sleep(POLL_PERIOD_MS);
             // Measured by the clock, since a process whose CPU quota is exhausted sleeps longer than requested.
-            long elapsedMillis = (MonotonicClock.SYSTEM.micros() - startedAt) / MICROS_PER_MILLI;
+            long elapsedMillis = (MonotonicClock.SYSTEM.micros() - startedAtMicros) / MICROS_PER_MILLI;
             ShutdownPhases current = currentPhases();
             if (accepting && elapsedMillis >= current.acceptMillis()) {
                 accepting = false;
--- a/src/test/java/magpiehub/discovery/ServeRegistryTest.java
+++ b/src/test/java/magpiehub/discovery/ServeRegistryTest.java
@@ -18,12 +18,19 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import magpiehub.concurrent.MonotonicClock;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Tests the whole program with a registry: starts it, moves it to another registry by SIGHUP, and stops it. */
 class ServeRegistryTest {
     private static final int TIMEOUT_MILLIS = 30_000;
+    private static final int DEADLINE_MILLIS = 1000;
+    private static final long LEASE_MILLIS = 10_000;
+    private static final long SHORT_LEASE_MILLIS = 3_000;
+    /** SIGKILL comes no sooner than this after the longest deadline. */
+    private static final int KILL_AFTER_DEADLINE_MILLIS = 700;
+
     private static final String REQUEST = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\n"
             + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
     private static final String RESPONSE =
@@ -40,12 +47,17 @@
 
     /** Writes the registry settings; {@code extraMembers} is appended to their members. */
     private void writeRegistrySettings(FakeRegistry registry, String extraMembers) throws Exception {
+        writeRegistrySettings(registry, LEASE_MILLIS, extraMembers);
+    }
+
+    private void writeRegistrySettings(FakeRegistry registry, long leaseMillis, String extraMembers) throws Exception {
         Path deploy = folder.resolve("deploy");
         Files.createDirectories(deploy);
         Files.writeString(
                 deploy.resolve("registry.json"),
                 "{\"kind\":\"etcd\",\"endpoints\":[\"" + registry.addresses().get(0) + "\"],\"prefix\":\""
-                        + FakeRegistry.PREFIX + "\",\"announce\":{\"prefix\":\"routers/\"}" + extraMembers + "}");
+                        + FakeRegistry.PREFIX + "\",\"announce\":{\"prefix\":\"routers/\",\"ttl_ms\":" + leaseMillis
+                        + "}" + extraMembers + "}");
     }
 
     private Process startRouter() throws Exception {
@@ -53,7 +65,9 @@
         Files.writeString(
                 config,
                 "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"7\",\"settings\":"
-                        + Files.readString(Path.of("src/test/resources/site.json")) + "}");
+                        + Files.readString(Path.of("src/test/resources/site.json"))
+                                .replace("\"deadlineMs\":4000", "\"deadlineMs\":" + DEADLINE_MILLIS)
+                        + "}");
         ProcessBuilder builder = new ProcessBuilder(
                         ProcessHandle.current().info().command().orElse("java"),
                         "-cp",
@@ -102,6 +116,37 @@
         return new BufferedReader(new InputStreamReader(in, UTF_8));
     }
 
+    /** Guards against requests without an answer at SIGKILL: the times of a shutdown count from the signal. */
+    @Test
+    void aRequestIsAnsweredBeforeTheKillAlthoughTheRegistryDoesNotAnswer() throws Exception {
+        try (ServerSocket engine = new ServerSocket(0, 8, loopback);
+                FakeRegistry registry = new FakeRegistry(1)) {
+            engine.setSoTimeout(TIMEOUT_MILLIS);
+            registry.put("e", "{\"host_port\":\"127.0.0.1:" + engine.getLocalPort() + "\"}");
+            writeRegistrySettings(registry, SHORT_LEASE_MILLIS, "");
+            Process router = startRouter();
+            try (BufferedReader log = router.inputReader();
+                    Socket client = new Socket(loopback, awaitServing(log))) {
+                client.getOutputStream().write(REQUEST.getBytes(UTF_8));
+                try (Socket upstream = engine.accept()) {
+                    readUntil(reader(upstream.getInputStream()), "X-Budget-Ms");
+                    // The registry answers nothing while another thread holds its lock, not even a renewal in progress.
+                    synchronized (registry) {
+                        MonotonicClock.SYSTEM.sleepUntil(
+                                MonotonicClock.SYSTEM.micros() + SHORT_LEASE_MILLIS * 1000 / 2);
+                        router.toHandle().destroy();
+                        client.setSoTimeout(DEADLINE_MILLIS + KILL_AFTER_DEADLINE_MILLIS);
+                        assertEquals(
+                                "HTTP/1.1 503 Service Unavailable",
+                                reader(client.getInputStream()).readLine());
+                    }
+                }
+            } finally {
+                router.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void servesMovesAndDeregisters() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 8, loopback);
