Give each phase end of a shutdown its own step, and deregister where it is announced

The thread that deregisters moved to ServiceAnnouncement, which knows whether there is anything to deregister, so that a router without a registry starts none.

--- a/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
+++ b/src/main/java/magpiehub/lifecycle/GracefulShutdown.java
@@ -1,10 +1,11 @@
 package magpiehub.lifecycle;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import magpiehub.admin.AdminCommandHandler;
-import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.config.SiteSettings;
 import magpiehub.dispatch.RequestDispatcher;
@@ -24,6 +25,14 @@
 
     private static final int MICROS_PER_MILLI = 1000;
 
+    /** A step that may fail. */
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    /** The step at the end of a phase, and when that is. */
+    private record PhaseEnd(ToLongFunction<ShutdownPhases> dueMillis, Step step) {}
+
     private final List<ClientListener> listeners;
     private final RequestDispatcher dispatcher;
     private final Supplier<SiteSettings> site;
@@ -69,9 +78,10 @@
             if (hasSuccessor) {
                 drainToSuccessor(startedAtMicros);
             }
-            Thread withdrawal = startWithdrawal();
+            // Begins before accepting ends, so that clients stop connecting first.
+            announcement.withdraw();
             finish(hasSuccessor, startedAtMicros);
-            withdrawal.join();
+            announcement.awaitWithdrawn();
         } catch (IOException | InterruptedException e) {
             log.log("stop-failed", "error", e.toString());
         } finally {
@@ -112,61 +122,47 @@
         }
     }
 
-    /**
-     * Withdraws the announcement while new connections are still accepted, so that clients stop connecting first. This
-     * may block where the registry does not answer, so it has a thread of its own: the time of the kill counts from the
-     * signal. Without memory for a thread, the caller blocks.
-     */
-    private Thread startWithdrawal() {
-        Thread withdrawal = DaemonThreads.newThread("withdrawal", this::withdraw);
-        try {
-            withdrawal.start();
-        } catch (OutOfMemoryError e) {
-            withdraw();
-        }
-        return withdrawal;
-    }
-
-    private void withdraw() {
-        try {
-            announcement.withdraw();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
+    /** Carries out the steps at the ends of the phases until no connection is open. */
     private void finish(boolean hasSuccessor, long startedAtMicros) throws IOException, InterruptedException {
+        List<PhaseEnd> pending = phaseEnds(hasSuccessor);
         boolean accepting = true;
-        boolean admittingUnresumable = true;
-        boolean keepingIdle = !hasSuccessor;
-        boolean awaitingRequests = true;
         while (accepting || hasOpenConnections()) {
             Thread.sleep(POLL_PERIOD_MS);
             // Measured by the clock, since a process whose CPU quota is exhausted sleeps longer than requested.
             long elapsedMillis = (MonotonicClock.SYSTEM.micros() - startedAtMicros) / MICROS_PER_MILLI;
             ShutdownPhases current = currentPhases();
-            if (accepting && elapsedMillis >= current.acceptMillis()) {
-                accepting = false;
-                stopAccepting();
-            }
-            if (admittingUnresumable && elapsedMillis >= current.admitUnresumableMillis()) {
-                admittingUnresumable = false;
-                rejectUnresumableRequests();
-            }
-            if (keepingIdle && elapsedMillis >= current.keepIdleMillis()) {
-                keepingIdle = false;
-                listeners.forEach(ClientListener::closeIdleConnections);
-            }
-            if (awaitingRequests && elapsedMillis >= current.finishMillis()) {
-                awaitingRequests = false;
-                dispatcher.shutDown(site.get().routing().resumesStreams());
-            }
-            if (!awaitingRequests) {
+            runDue(pending, current, elapsedMillis);
+            accepting = elapsedMillis < current.acceptMillis();
+            if (elapsedMillis >= current.finishMillis()) {
                 listeners.forEach(listener -> listener.disconnectStalledClients(STALLED_CLIENT_TIMEOUT_MICROS));
             }
         }
     }
 
+    private List<PhaseEnd> phaseEnds(boolean hasSuccessor) {
+        List<PhaseEnd> ends = new ArrayList<>();
+        ends.add(new PhaseEnd(ShutdownPhases::acceptMillis, this::stopAccepting));
+        ends.add(new PhaseEnd(ShutdownPhases::admitUnresumableMillis, this::rejectUnresumableRequests));
+        if (!hasSuccessor) {
+            ends.add(new PhaseEnd(
+                    ShutdownPhases::keepIdleMillis, () -> listeners.forEach(ClientListener::closeIdleConnections)));
+        }
+        ends.add(new PhaseEnd(
+                ShutdownPhases::finishMillis,
+                () -> dispatcher.shutDown(site.get().routing().resumesStreams())));
+        return ends;
+    }
+
+    /** Runs the steps that are due, each once. */
+    private static void runDue(List<PhaseEnd> pending, ShutdownPhases phases, long elapsedMillis) throws IOException {
+        for (PhaseEnd end : List.copyOf(pending)) {
+            if (elapsedMillis >= end.dueMillis().applyAsLong(phases)) {
+                pending.remove(end);
+                end.step().run();
+            }
+        }
+    }
+
     /** Rejects requests whose streams can't be resumed, and closes the idle connections on which they would come. */
     private void rejectUnresumableRequests() {
         dispatcher.announceShutdown();
--- a/src/main/java/magpiehub/lifecycle/ServiceAnnouncement.java
+++ b/src/main/java/magpiehub/lifecycle/ServiceAnnouncement.java
@@ -1,6 +1,7 @@
 package magpiehub.lifecycle;
 
 import java.io.IOException;
+import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.config.RouterConfiguration;
 import magpiehub.discovery.DiscoverySettings;
@@ -10,7 +11,7 @@
 
 /**
  * Registers this router with the installation's registry and publishes its status in the key-value store, if the
- * installation has them. {@link #publish} and {@link #withdraw} may be called from different threads.
+ * installation has them. {@link #publish} may be called from another thread than the other methods.
  */
 final class ServiceAnnouncement {
     /** Timeout for deregistering this router. */
@@ -24,6 +25,8 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private volatile RouterRegistration registration;
+    /** Deregisters this router; null before {@link #withdraw}, or if it is not registered. */
+    private Thread deregistration;
 
     /**
      * Creates an announcement that is not yet published.
@@ -59,12 +62,41 @@
         putInStore("serving " + address);
     }
 
-    /** Announces that the router is stopping, and waits up to a timeout until it is deregistered. */
-    void withdraw() throws InterruptedException {
+    /**
+     * Announces that the router is stopping, and starts to deregister it. Does not wait for the registry, which may not
+     * answer: the time until the process is killed counts from the signal.
+     */
+    void withdraw() {
         putInStore("stopping");
         RouterRegistration published = registration;
         if (published != null) {
+            startDeregistration(published);
+        }
+    }
+
+    private void startDeregistration(RouterRegistration published) {
+        Thread thread = DaemonThreads.newThread("deregistration", () -> deregister(published));
+        try {
+            thread.start();
+            deregistration = thread;
+        } catch (OutOfMemoryError e) {
+            // No further thread can be started. The router's entry in the registry expires.
+            log.log("registry-deregister-failed", "why", "no thread can be started");
+        }
+    }
+
+    private static void deregister(RouterRegistration published) {
+        try {
             published.stop(DEREGISTER_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits until the router is deregistered, or the registry has not answered in time. */
+    void awaitWithdrawn() throws InterruptedException {
+        if (deregistration != null) {
+            deregistration.join();
         }
     }
 
