Acknowledge an operator's write once a peer has been sent it

An edit whose connection had been closed, which says that it is accepted, was lost if the replica was killed right then.

Cause: the connection was closed as soon as the write was applied in memory, while the links to the peers send on threads of their own.

Change: writes are numbered as they are applied, links record what they have written to their connections (ReplicationProgress), and the end of an operator's connection waits until at least one peer has been sent all, for 0.7 s at most. What is in a socket's buffer outlives the process. Counter store_writes_unreplicated.

--- a/src/main/java/magpiehub/store/LastWriteWinsStore.java
+++ b/src/main/java/magpiehub/store/LastWriteWinsStore.java
@@ -32,6 +32,9 @@
  * write after those made before the start.
  */
 public final class LastWriteWinsStore implements KeyValueStore {
+    /** The longest wait for a peer to which an operator's writes can be sent. */
+    private static final long REPLICATION_TIMEOUT_MILLIS = 700;
+
     private final String replicaName;
     private final MonotonicClock clock;
     private final EventLog log;
@@ -45,6 +48,10 @@
     /** Guarded by this. */
     private final HybridClock hybridClock;
 
+    /** The number of writes applied so far. Written with the lock on this held, read without. */
+    private volatile long lastNumber;
+
+    private final ReplicationProgress progress = new ReplicationProgress();
     private volatile boolean isClosed;
 
     /**
@@ -117,7 +124,7 @@
 
     /** Starts to replicate all entries and writes to a peer, given as {@code host:port}. */
     void addPeer(String address) {
-        PeerLink link = new PeerLink(address, entries, () -> isClosed, clock, log);
+        PeerLink link = new PeerLink(address, new AppliedWrites(), progress, () -> isClosed, clock, log);
         synchronized (this) {
             links.add(link);
         }
@@ -146,6 +153,23 @@
         merge(key, new VersionedValue(value, new HybridTimestamp(hybridClock.next(), replicaName)));
     }
 
+    private synchronized boolean hasPeers() {
+        return !links.isEmpty();
+    }
+
+    /** What the links replicate. */
+    private final class AppliedWrites implements PeerLink.Writes {
+        @Override
+        public Map<String, VersionedValue> entries() {
+            return entries;
+        }
+
+        @Override
+        public long lastNumber() {
+            return lastNumber;
+        }
+    }
+
     /** Handles the messages of peers and operators. */
     private final class MessageReceiver implements PeerListener.Receiver {
         @Override
@@ -158,6 +182,13 @@
             }
         }
 
+        @Override
+        public void awaitReplicated() throws InterruptedException {
+            if (hasPeers() && !progress.awaitSent(lastNumber, REPLICATION_TIMEOUT_MILLIS)) {
+                log.count("store_writes_unreplicated");
+            }
+        }
+
         @Override
         public void sendSnapshot(OutputStream out) throws IOException {
             SnapshotTransfer.send(entries, out);
@@ -169,9 +200,11 @@
         hybridClock.observe(write.timestamp().counter());
         if (write.isNewerThan(entries.get(key))) {
             entries.put(key, write);
+            long number = lastNumber + 1;
+            lastNumber = number;
             byte[] line = StoreMessageCodec.encode(key, write);
             for (PeerLink link : links) {
-                link.send(line);
+                link.send(number, line);
             }
         }
     }
--- a/src/main/java/magpiehub/store/PeerLink.java
+++ b/src/main/java/magpiehub/store/PeerLink.java
@@ -25,32 +25,47 @@
     private static final int MAX_QUEUED_BYTES = 4 << 20;
 
     /** Tells the writing thread that the connection was closed. */
-    private static final byte[] CONNECTION_CLOSED = {};
+    private static final NumberedLine CONNECTION_CLOSED = new NumberedLine(0, new byte[0]);
+
+    /** The encoded write of the replica with the given number. */
+    private record NumberedLine(long number, byte[] line) {}
+
+    /** The writes of the replica that a link replicates. */
+    interface Writes {
+        /** All entries; safe to iterate over while they change. */
+        Map<String, VersionedValue> entries();
+
+        /** The number of the last write that {@link #entries} contain. */
+        long lastNumber();
+    }
 
     private final String address;
-    private final Map<String, VersionedValue> entries;
+    private final Writes writes;
+    private final ReplicationProgress progress;
     private final BooleanSupplier isStoreClosed;
     private final MonotonicClock clock;
     private final EventLog log;
     /** Lines to be written; null while there is no connection, since the next one starts with all entries. */
-    private volatile Mailbox<byte[]> queue;
+    private volatile Mailbox<NumberedLine> queue;
     /** The current or last connection; null before the first. */
     private volatile Socket socket;
 
     /**
      * Creates a link that does not connect until {@link #start}.
      *
-     * @param entries the store's live map, safe to iterate over while it changes
+     * @param progress records what has been written to the peer's connection
      * @param isStoreClosed stops the link once it returns true
      */
     PeerLink(
             String address,
-            Map<String, VersionedValue> entries,
+            Writes writes,
+            ReplicationProgress progress,
             BooleanSupplier isStoreClosed,
             MonotonicClock clock,
             EventLog log) {
         this.address = address;
-        this.entries = entries;
+        this.writes = writes;
+        this.progress = progress;
         this.isStoreClosed = isStoreClosed;
         this.clock = clock;
         this.log = log;
@@ -79,9 +94,11 @@
             connection.setTcpNoDelay(true);
             connection.connect(HostPort.toSocketAddress(address), CONNECT_TIMEOUT_MILLIS);
             // The queue is set before the entries are read, so that each later write is in one or the other.
-            Mailbox<byte[]> newQueue = new Mailbox<>(clock, MAX_QUEUED_BYTES);
+            Mailbox<NumberedLine> newQueue = new Mailbox<>(clock, MAX_QUEUED_BYTES);
             queue = newQueue;
-            SnapshotTransfer.sendEntries(entries, connection.getOutputStream());
+            long lastNumber = writes.lastNumber();
+            SnapshotTransfer.sendEntries(writes.entries(), connection.getOutputStream());
+            progress.recordSent(lastNumber);
             DaemonThreads.newThread("store-watch", () -> awaitDisconnect(connection, newQueue))
                     .start();
             log.count("store_links");
@@ -95,11 +112,12 @@
         }
     }
 
-    private static void sendWrites(OutputStream out, Mailbox<byte[]> lines) throws IOException, InterruptedException {
-        byte[] line = lines.take(Long.MAX_VALUE);
-        while (line.length > 0) {
-            out.write(line);
-            line = lines.take(Long.MAX_VALUE);
+    private void sendWrites(OutputStream out, Mailbox<NumberedLine> lines) throws IOException, InterruptedException {
+        NumberedLine next = lines.take(Long.MAX_VALUE);
+        while (next.line().length > 0) {
+            out.write(next.line());
+            progress.recordSent(next.number());
+            next = lines.take(Long.MAX_VALUE);
         }
     }
 
@@ -107,7 +125,7 @@
      * Waits until the peer closes the connection, then stops the writing thread, which would not notice by itself while
      * there is nothing to write. A peer never sends data.
      */
-    private static void awaitDisconnect(Socket connection, Mailbox<byte[]> lines) {
+    private static void awaitDisconnect(Socket connection, Mailbox<NumberedLine> lines) {
         try {
             connection.getInputStream().read();
         } catch (IOException e) {
@@ -117,22 +135,25 @@
         Sockets.closeQuietly(connection);
     }
 
-    private static void closeQueue(Mailbox<byte[]> lines) {
+    private static void closeQueue(Mailbox<NumberedLine> lines) {
         lines.post(CONNECTION_CLOSED);
         lines.close();
     }
 
-    /** Queues a line for the peer. Never blocks: if the queue is full, the link disconnects and connects again. */
-    void send(byte[] line) {
-        Mailbox<byte[]> lines = queue;
-        if (lines != null && !lines.post(line, line.length)) {
+    /**
+     * Queues the encoded write with the given number for the peer. Never blocks: if the queue is full, the link
+     * disconnects and connects again.
+     */
+    void send(long number, byte[] line) {
+        Mailbox<NumberedLine> lines = queue;
+        if (lines != null && !lines.post(new NumberedLine(number, line), line.length)) {
             Sockets.closeQuietly(socket);
         }
     }
 
     /** Closes the connection. The store must be closed before, or the link connects again. */
     void close() {
-        Mailbox<byte[]> lines = queue;
+        Mailbox<NumberedLine> lines = queue;
         if (lines != null) {
             closeQueue(lines);
         }
--- a/src/main/java/magpiehub/store/PeerListener.java
+++ b/src/main/java/magpiehub/store/PeerListener.java
@@ -21,6 +21,9 @@
         /** Handles a message. It may block its connection. */
         void receive(StoreMessage message) throws InterruptedException;
 
+        /** Waits until the writes received so far are likely to outlive this process. */
+        void awaitReplicated() throws InterruptedException;
+
         /** Sends all entries to a connection that has requested them. */
         void sendSnapshot(OutputStream out) throws IOException;
     }
@@ -68,13 +71,15 @@
 
     private void readMessages(Socket connection) {
         try (connection) {
+            boolean hasOperatorWrite = false;
             StoreMessageReader reader = new StoreMessageReader(connection.getInputStream());
             for (StoreMessage message = reader.read(); message != null; message = reader.read()) {
-                if (message instanceof StoreMessage.SnapshotRequest) {
-                    receiver.sendSnapshot(connection.getOutputStream());
-                } else {
-                    receiver.receive(message);
-                }
+                handle(message, connection);
+                hasOperatorWrite |= message instanceof StoreMessage.OperatorWrite;
+            }
+            if (hasOperatorWrite) {
+                // The end of the connection tells the operator that the writes have been accepted.
+                receiver.awaitReplicated();
             }
         } catch (IOException | RuntimeException | OutOfMemoryError e) {
             log.count("store_link_failures");
@@ -85,6 +90,14 @@
         }
     }
 
+    private void handle(StoreMessage message, Socket connection) throws IOException, InterruptedException {
+        if (message instanceof StoreMessage.SnapshotRequest) {
+            receiver.sendSnapshot(connection.getOutputStream());
+        } else {
+            receiver.receive(message);
+        }
+    }
+
     /** Closes the listener and all connections. The port is free once this returns. */
     void close() {
         isClosed = true;
--- a/src/test/java/magpiehub/store/KeyValueStoreTest.java
+++ b/src/test/java/magpiehub/store/KeyValueStoreTest.java
@@ -30,6 +30,7 @@
     private static final int EDITS = 300;
     private static final int KEYS = 5;
     private static final int EDITS_PER_RESTART = 30;
+    private static final int ENDS_AFTER_EDIT = 50;
 
     private final List<LastWriteWinsStore> replicas = new ArrayList<>();
     private final SyslogEventLog log = new SyslogEventLog(System.err, "test", 1);
@@ -208,6 +209,29 @@
         assertEquals(a.get("k"), b.get("k"));
     }
 
+    /** Guards against lost edits: a replica that ends right after an edit must have sent it to a peer by then. */
+    @Test
+    void anEditThatHasBeenAcceptedIsOnItsWayToAPeer() throws IOException {
+        LastWriteWinsStore b = replica("b", 0);
+        for (int i = 0; i < ENDS_AFTER_EDIT; i++) {
+            LastWriteWinsStore a = replica("a", 0, b);
+            String key = "k" + i;
+            edit(a, key, "1");
+            a.close();
+            await(() -> "1".equals(b.get(key)));
+        }
+    }
+
+    @Test
+    void anEditIsAcceptedAlthoughNoPeerCanBeReached() throws IOException {
+        LastWriteWinsStore gone = replica("gone", 0);
+        gone.close();
+        LastWriteWinsStore a = replica("a", 0, gone);
+        edit(a, "k", "1");
+        assertEquals("1", a.get("k"));
+        assertTrue(log.counters().contains("store_writes_unreplicated 1\n"), log.counters());
+    }
+
     /** Edits at random replicas, one of which restarts again and again: the last edit of each key wins everywhere. */
     @Test
     void theLastEditOfEachKeyReachesAllReplicasAlthoughOneRestartsRepeatedly() throws IOException {
