Test that an upgrade begins no stream late whose client can't resume it

The old process of an upgrade closes its idle connections one after the other; twenty of them are kept, and each gets a request 0.8 s after SIGTERM.

--- a/src/test/java/magpiehub/PlannedRestartTest.java
+++ b/src/test/java/magpiehub/PlannedRestartTest.java
@@ -6,7 +6,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -81,7 +80,7 @@
     }
 
     /** Answers a request with an event each 50 ms until the connection ends. */
-    private static void streamForever(Socket upstream) {
+    static void streamForever(Socket upstream) {
         try (upstream) {
             RouterProcess.readRequest(new BufferedReader(new InputStreamReader(upstream.getInputStream(), UTF_8)));
             ServeTest.send(upstream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -90,7 +89,7 @@
                 MonotonicClock.SYSTEM.sleepUntil(MonotonicClock.SYSTEM.micros() + 50_000);
             }
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            // The router has closed the connection.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/magpiehub/UpgradeTest.java
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -16,6 +16,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import magpiehub.concurrent.DaemonThreads;
+import magpiehub.concurrent.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -50,6 +52,9 @@
             kill 'KILL', 0;
             """;
 
+    private static final long REQUEST_AFTER_SIGTERM_MICROS = 800_000;
+    private static final int KEPT_CONNECTIONS = 20;
+
     private static final String REQUEST = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: %s\r\n"
             + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
@@ -59,6 +64,7 @@
     Path folder;
 
     private final InetAddress loopback = InetAddress.getLoopbackAddress();
+    private Path config;
     private ServerSocket engine;
     private ServerSocket discovery;
     private Process launcher;
@@ -72,7 +78,7 @@
         engine.setSoTimeout(30_000);
         discovery = new ServerSocket(0, 8, loopback);
         FakeDiscovery.serve(discovery);
-        Path config = Files.createTempFile(folder, "junit", ".tmp");
+        config = Files.createTempFile(folder, "junit", ".tmp");
         ServeTest.writeConfiguration(config, discovery, engine);
         ProcessBuilder builder = new ProcessBuilder(
                 "perl",
@@ -195,6 +201,46 @@
         }
     }
 
+    /** Guards against streams that SIGKILL cuts: the old process takes none late that can't be resumed elsewhere. */
+    @Test
+    void noStreamThatCannotBeResumedBeginsLateInAnUpgrade() throws Exception {
+        Files.writeString(config, Files.readString(config).replace("\"resume\":true", "\"resume\":false"));
+        int first = startVersion();
+        assertTrue(callConsole(first, "status").startsWith("SUCCESS active"));
+        DaemonThreads.newThread("engine", this::streamToAll).start();
+        // Idle connections are closed one after the other; with many, some are left late in the time for that.
+        List<Socket> clients = new ArrayList<>();
+        List<BufferedReader> answers = new ArrayList<>();
+        for (int i = 0; i < KEPT_CONNECTIONS; i++) {
+            Socket client = new Socket(loopback, port);
+            clients.add(client);
+            answers.add(ServeTest.reader(client));
+            ServeTest.send(client, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+            ServeTest.readUntil(answers.get(i), "up");
+        }
+        startVersion();
+        ProcessHandle.of(oldestProcessId()).orElseThrow().destroy();
+        MonotonicClock.SYSTEM.sleepUntil(MonotonicClock.SYSTEM.micros() + REQUEST_AFTER_SIGTERM_MICROS);
+        for (int i = 0; i < KEPT_CONNECTIONS; i++) {
+            String answer = ServeTest.answerOrEnd(clients.get(i), answers.get(i), REQUEST.formatted("a" + i));
+            assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 503 "), answer);
+            clients.get(i).close();
+        }
+    }
+
+    /** Answers each request with a stream without an end, until the engine's socket is closed. */
+    private void streamToAll() {
+        try {
+            while (true) {
+                Socket upstream = engine.accept();
+                DaemonThreads.newThread("stream", () -> PlannedRestartTest.streamForever(upstream))
+                        .start();
+            }
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
     @Test
     void operatorCommandsApplyToBothProcessesAndSurviveTheUpgrade() throws Exception {
         int first = startVersion();
