--- a/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
+++ b/src/test/java/magpiehub/dispatch/RequestDispatcherTest.java
@@ -17,6 +17,7 @@
 import magpiehub.routing.RoutingPolicyFixture;
 import magpiehub.routing.RoutingRequest;
 import magpiehub.routing.RoutingSettings;
+import magpiehub.routing.RoutingSettingsBuilder;
 import magpiehub.telemetry.EventLog;
 import org.junit.jupiter.api.Test;
 
@@ -130,20 +131,10 @@
 
     private static RoutingSettings settings(boolean subscribe, RoutingLimits limits) {
         RoutingSettings base = RoutingPolicyFixture.settings(1);
-        return new RoutingSettings(
-                0,
-                1,
-                0,
-                2,
-                subscribe,
-                false,
-                base.weightMeaning(),
-                0.1,
-                base.classes(),
-                base.tenants(),
-                limits,
-                base.guarantees(),
-                base.costs());
+        return RoutingSettingsBuilder.from(base)
+                .subscribesToEndpoints(subscribe)
+                .limits(limits)
+                .build();
     }
 
     /** Runs more turns than any step of a test posts messages and sets timers. */
--- a/src/test/java/magpiehub/routing/RoutingPolicyFixture.java
+++ b/src/test/java/magpiehub/routing/RoutingPolicyFixture.java
@@ -251,20 +251,11 @@
     static RoutingPolicyFixture withCosts(
             int instanceIndex, int instanceCount, double crossZone, double connection, WeightMeaning weights) {
         RoutingSettings defaults = settings(instanceCount);
-        return new RoutingPolicyFixture(new RoutingSettings(
-                instanceIndex,
-                instanceCount,
-                0,
-                2,
-                false,
-                false,
-                weights,
-                0.1,
-                defaults.classes(),
-                defaults.tenants(),
-                defaults.limits(),
-                defaults.guarantees(),
-                new RoutingCosts(crossZone, 0, 0, 0, connection, 0)));
+        return new RoutingPolicyFixture(RoutingSettingsBuilder.from(defaults)
+                .instance(instanceIndex, instanceCount)
+                .weightMeaning(weights)
+                .costs(new RoutingCosts(crossZone, 0, 0, 0, connection, 0))
+                .build());
     }
 
     /** Serves requests of many sessions, so that shares of traffic are reliable. */
--- a/src/test/java/magpiehub/routing/RoutingPolicyTest.java
+++ b/src/test/java/magpiehub/routing/RoutingPolicyTest.java
@@ -33,18 +33,10 @@
         RoutingLimits limits = settings.limits();
         router.policy.onSettings(
                 router.now,
-                new RoutingSettings(
-                        settings.instanceIndex(),
-                        settings.instanceCount(),
-                        settings.ownZone(),
-                        settings.zoneCount(),
-                        settings.subscribesToEndpoints(),
-                        settings.resumesStreams(),
-                        settings.weightMeaning(),
-                        settings.overQuotaWeight(),
-                        List.of(settings.classes().get(0), strict),
-                        List.of(new Tenant("t", 1, 5)),
-                        new RoutingLimits(
+                RoutingSettingsBuilder.from(settings)
+                        .classes(settings.classes().get(0), strict)
+                        .tenants(new Tenant("t", 1, 5))
+                        .limits(new RoutingLimits(
                                 limits.allowsCancellation(),
                                 limits.allowsHealthChecks(),
                                 limits.allowsPeerMessages(),
@@ -53,9 +45,8 @@
                                 2,
                                 limits.maxInFlight(),
                                 limits.maxRetryAfter(),
-                                limits.connectTimeout()),
-                        settings.guarantees(),
-                        settings.costs()));
+                                limits.connectTimeout()))
+                        .build());
         router.endAttempt(requestBeforeReload, AttemptOutcome.RESET);
         assertEquals(2, router.attemptCounts.get(requestBeforeReload), "its own class may be retried");
         router.endAttempt(requestBeforeReload, AttemptOutcome.RESET);
@@ -97,20 +88,8 @@
                 limits.maxInFlight(),
                 limits.maxRetryAfter(),
                 limits.connectTimeout());
-        RoutingPolicyFixture router = new RoutingPolicyFixture(new RoutingSettings(
-                        wide.instanceIndex(),
-                        wide.instanceCount(),
-                        wide.ownZone(),
-                        wide.zoneCount(),
-                        wide.subscribesToEndpoints(),
-                        wide.resumesStreams(),
-                        wide.weightMeaning(),
-                        wide.overQuotaWeight(),
-                        wide.classes(),
-                        wide.tenants(),
-                        narrow,
-                        wide.guarantees(),
-                        wide.costs()))
+        RoutingPolicyFixture router = new RoutingPolicyFixture(
+                        RoutingSettingsBuilder.from(wide).limits(narrow).build())
                 .list(replicaNames(8));
         String requestBeforeReload = router.submit(0, 0);
         router.policy.onSettings(router.now, wide);
--- a/src/test/java/magpiehub/routing/SlowStartFleetTest.java
+++ b/src/test/java/magpiehub/routing/SlowStartFleetTest.java
@@ -135,20 +135,11 @@
                     8_000, 10 * SECOND, WARM_UP, OVERLOAD_WINDOW, OVERLOAD_FACTOR, INITIAL_CAPACITY, 2 * SECOND);
             open.clear();
             policy = new RoutingPolicy(
-                    new RoutingSettings(
-                            instanceIndex,
-                            fleet.shares.length,
-                            instanceIndex % 2,
-                            2,
-                            false,
-                            false,
-                            defaults.weightMeaning(),
-                            0.1,
-                            defaults.classes(),
-                            List.of(),
-                            defaults.limits(),
-                            guarantees,
-                            defaults.costs()),
+                    RoutingSettingsBuilder.from(defaults)
+                            .instance(instanceIndex, fleet.shares.length)
+                            .ownZone(instanceIndex % 2)
+                            .guarantees(guarantees)
+                            .build(),
                     fleet.random.nextLong(),
                     this,
                     fleet.now);
--- a/src/test/java/magpiehub/routing/SlowStartTest.java
+++ b/src/test/java/magpiehub/routing/SlowStartTest.java
@@ -14,6 +14,16 @@
 
 /** Tests the traffic that a warming replica gets. */
 class SlowStartTest {
+    /** Reports that the first replica has just started; returns its id. */
+    private static String restartFirstReplica(RoutingPolicyFixture router) {
+        String id = replicaNames(1)[0];
+        router.policy.onEndpoints(
+                router.now,
+                EndpointListKind.CHANGES,
+                List.of(RoutingPolicyFixture.endpoint(id, EndpointState.LIVE, router.now)));
+        return id;
+    }
+
     @Test
     void warmingReplicaGetsAFractionOfAWarmShare() {
         RoutingPolicyFixture router = new RoutingPolicyFixture(RoutingPolicyFixture.settings(1)).list(replicaNames(5));
@@ -21,11 +31,7 @@
             router.serve(0, i + 1);
             router.advance(25_000);
         }
-        String warmingReplica = "10.0.0.0:9000";
-        router.policy.onEndpoints(
-                router.now,
-                EndpointListKind.CHANGES,
-                List.of(RoutingPolicyFixture.endpoint(warmingReplica, EndpointState.LIVE, router.now)));
+        String warmingReplica = restartFirstReplica(router);
         int early = 0;
         for (int i = 0; i < 80; i++) {
             early += router.serve(0, 5000 + i).equals(warmingReplica) ? 1 : 0;
@@ -47,30 +53,15 @@
     void warmingReplicaStaysUnderASmallOverloadFactor() {
         RoutingSettings defaults = RoutingPolicyFixture.settings(1);
         Guarantees guarantees = new Guarantees(8_000, 10 * SECOND, 20 * SECOND, 2 * SECOND, 1, 0.2, 2 * SECOND);
-        RoutingPolicyFixture router = new RoutingPolicyFixture(new RoutingSettings(
-                        0,
-                        1,
-                        0,
-                        2,
-                        false,
-                        false,
-                        defaults.weightMeaning(),
-                        0.1,
-                        defaults.classes(),
-                        defaults.tenants(),
-                        defaults.limits(),
-                        guarantees,
-                        defaults.costs()))
+        RoutingPolicyFixture router = new RoutingPolicyFixture(RoutingSettingsBuilder.from(defaults)
+                        .guarantees(guarantees)
+                        .build())
                 .list(replicaNames(5));
         for (int i = 0; i < 400; i++) {
             router.serve(0, i + 1);
             router.advance(25_000);
         }
-        String warmingReplica = "10.0.0.0:9000";
-        router.policy.onEndpoints(
-                router.now,
-                EndpointListKind.CHANGES,
-                List.of(RoutingPolicyFixture.endpoint(warmingReplica, EndpointState.LIVE, router.now)));
+        String warmingReplica = restartFirstReplica(router);
         for (int window = 0; window < 4; window++) {
             int n = 0;
             for (int i = 0; i < 80; i++) {
@@ -89,30 +80,15 @@
         int total = 0;
         for (int instanceIndex = 0; instanceIndex < routers; instanceIndex++) {
             RoutingSettings defaults = RoutingPolicyFixture.settings(routers);
-            RoutingPolicyFixture router = new RoutingPolicyFixture(new RoutingSettings(
-                            instanceIndex,
-                            routers,
-                            0,
-                            2,
-                            false,
-                            false,
-                            defaults.weightMeaning(),
-                            0.1,
-                            defaults.classes(),
-                            defaults.tenants(),
-                            defaults.limits(),
-                            defaults.guarantees(),
-                            defaults.costs()))
+            RoutingPolicyFixture router = new RoutingPolicyFixture(RoutingSettingsBuilder.from(defaults)
+                            .instance(instanceIndex, routers)
+                            .build())
                     .list(replicaNames(5));
             for (int i = 0; i < 100; i++) {
                 router.serve(0, i + 1);
                 router.advance(SECOND / 2);
             }
-            String warmingReplica = "10.0.0.0:9000";
-            router.policy.onEndpoints(
-                    router.now,
-                    EndpointListKind.CHANGES,
-                    List.of(RoutingPolicyFixture.endpoint(warmingReplica, EndpointState.LIVE, router.now)));
+            String warmingReplica = restartFirstReplica(router);
             for (int i = 0; i < 4; i++) {
                 total += router.serve(0, 5000 + i).equals(warmingReplica) ? 1 : 0;
                 router.advance(SECOND / 2);
@@ -132,20 +108,11 @@
         Map<String, Integer> sent = new HashMap<>();
         Map<String, Integer> firstSecond = new HashMap<>();
         for (int instanceIndex = 0; instanceIndex < routers; instanceIndex++) {
-            RoutingPolicyFixture router = new RoutingPolicyFixture(new RoutingSettings(
-                    instanceIndex,
-                    routers,
-                    instanceIndex % 2,
-                    2,
-                    false,
-                    false,
-                    defaults.weightMeaning(),
-                    0.1,
-                    defaults.classes(),
-                    defaults.tenants(),
-                    defaults.limits(),
-                    guarantees,
-                    defaults.costs()));
+            RoutingPolicyFixture router = new RoutingPolicyFixture(RoutingSettingsBuilder.from(defaults)
+                    .instance(instanceIndex, routers)
+                    .ownZone(instanceIndex % 2)
+                    .guarantees(guarantees)
+                    .build());
             List<Endpoint> list = new ArrayList<>();
             for (int i = 0; i < fleet; i++) {
                 list.add(RoutingPolicyFixture.endpoint(
@@ -188,11 +155,7 @@
                 router.submit(9, 0, 0, 1);
             }
         }
-        String warmingReplica = "10.0.0.0:9000";
-        router.policy.onEndpoints(
-                router.now,
-                EndpointListKind.CHANGES,
-                List.of(RoutingPolicyFixture.endpoint(warmingReplica, EndpointState.LIVE, router.now)));
+        String warmingReplica = restartFirstReplica(router);
         int early = 0;
         for (int i = 0; i < 80; i++) {
             early += router.serve(0, 5000 + i).equals(warmingReplica) ? 1 : 0;
--- a/src/test/java/magpiehub/routing/ZoneHealthTest.java
+++ b/src/test/java/magpiehub/routing/ZoneHealthTest.java
@@ -79,18 +79,8 @@
         RoutingSettings settings = RoutingPolicyFixture.settings(1, true, true, List.of());
         RoutingLimits limits = settings.limits();
         RoutingPolicyFixture fixture = new RoutingPolicyFixture(
-                new RoutingSettings(
-                        0,
-                        1,
-                        0,
-                        2,
-                        true,
-                        false,
-                        settings.weightMeaning(),
-                        0.1,
-                        settings.classes(),
-                        List.of(),
-                        new RoutingLimits(
+                RoutingSettingsBuilder.from(settings)
+                        .limits(new RoutingLimits(
                                 limits.allowsCancellation(),
                                 allowsHealthChecks,
                                 false,
@@ -99,9 +89,8 @@
                                 6,
                                 1000,
                                 limits.maxRetryAfter(),
-                                limits.connectTimeout()),
-                        settings.guarantees(),
-                        settings.costs()),
+                                limits.connectTimeout()))
+                        .build(),
                 zones);
         List<Endpoint> all = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
