--- a/src/main/java/magpiehub/store/StoreMessageCodec.java
+++ b/src/main/java/magpiehub/store/StoreMessageCodec.java
@@ -9,8 +9,8 @@
 /**
  * The wire format of a {@link StoreMessage}: one line with a JSON object. Its members are {@code key}, {@code value}
  * (absent if the key is removed), {@code count} (the timestamp's counter, as a string) and {@code by} (the timestamp's
- * replica). An operator's write has neither {@code count} nor {@code by}. A message about a snapshot has {@code snapshot}
- * alone, {@code request} or {@code end}.
+ * replica). An operator's write has neither {@code count} nor {@code by}. A message about a snapshot has {@code
+ * snapshot} alone, {@code request} or {@code end}.
  */
 final class StoreMessageCodec {
     /** Longest line that is accepted, without its line feed. */
--- a/src/main/java/magpiehub/store/package-info.java
+++ b/src/main/java/magpiehub/store/package-info.java
@@ -6,7 +6,7 @@
  * {@code deploy/store.json} exists, and requests are routed without it.
  *
  * <p>The protocol is one JSON object per line, in one direction: a replica connects to each peer, sends all entries,
- * then each write as it is made. A line without a timestamp is an operator's write; see {@code StoreMessageCodec}. After
- * its start, a replica requests all entries of each peer once, on a connection of its own ({@code CatchUp}).
+ * then each write as it is made. A line without a timestamp is an operator's write; see {@code StoreMessageCodec}.
+ * After its start, a replica requests all entries of each peer once, on a connection of its own ({@code CatchUp}).
  */
 package magpiehub.store;
