End a silent stream within 5 s where its client does not ask for the rest

Cause, from a trace of the case: 6 to 8 s after the bad chunks three upstream-readers wait in HttpReader.readPieces for the rest of their chunk, all actors are idle, the connections' timer runs, and nothing is logged until the clients leave. So no end was decided and lost: none was due. Ending a stream that can't be resumed loses it, so a silent engine was waited for, without a limit.

Change: hold_ms is 4.75 s by default. An engine that pauses, one that hangs and a chunk that is too short look the same while nothing comes, so one limit holds for all; it lies as near to the 5 s as the timer (50 ms) and a hold-up (0.15 s) allow, so that pauses are waited for as before.

--- a/src/main/java/magpiehub/streaming/StreamLimits.java
+++ b/src/main/java/magpiehub/streaming/StreamLimits.java
@@ -30,7 +30,7 @@
      * @param clientStallMicros how long a client's socket may accept nothing while bytes are buffered;
      *     {@code pause_ms} (ms, 30000)
      * @param nonResumableSilenceMicros the minimum time that an upstream may be silent if the client does not resume
-     *     streams elsewhere; {@code hold_ms} (ms, one day)
+     *     streams elsewhere; {@code hold_ms} (ms, 4750)
      * @param commentsOnlyMicros how long an upstream may send comments without an event; {@code comments_ms} (ms, one
      *     day)
      */
--- a/src/main/java/magpiehub/streaming/StreamLimitsReader.java
+++ b/src/main/java/magpiehub/streaming/StreamLimitsReader.java
@@ -37,6 +37,12 @@
     private static final long MAX_BUFFER_KB = 65_536;
     private static final long DEFAULT_CLIENT_STALL_MS = 30_000;
     private static final long DEFAULT_SILENCE_MS = 2_000;
+    /**
+     * A client that does not resume streams must not be left waiting for 5 s after the upstream's last event, but a
+     * shorter silence must not cost it the stream. The difference is for the timer's interval and for a hold-up.
+     */
+    private static final long DEFAULT_NON_RESUMABLE_SILENCE_MS = 4_750;
+
     private static final long DEFAULT_STALL_FACTOR = 8;
     private static final long MIN_STALL_FACTOR = 2;
     private static final long MAX_STALL_FACTOR = 1000;
@@ -44,7 +50,7 @@
     private static final ClassLimits DEFAULT_CLASS_LIMITS = new ClassLimits(
             DEFAULT_BUFFER_KB * BYTES_PER_KB,
             DEFAULT_CLIENT_STALL_MS * MICROS_PER_MILLI,
-            DAY_MS * MICROS_PER_MILLI,
+            DEFAULT_NON_RESUMABLE_SILENCE_MS * MICROS_PER_MILLI,
             DAY_MS * MICROS_PER_MILLI);
 
     private StreamLimitsReader() {}
--- a/src/test/java/magpiehub/streaming/SchedulingDelay.java
+++ b/src/test/java/magpiehub/streaming/SchedulingDelay.java
@@ -7,11 +7,11 @@
  * Measures the longest delay with which this machine schedules a runnable thread. The threads that measure times in
  * this test are subject to the same delay, so it is added to bounds on times. With idle cores it is a millisecond.
  */
-final class SchedulingDelay {
+public final class SchedulingDelay {
     private volatile long maxMicros;
 
     /** Starts a thread that repeatedly sleeps and measures its oversleep until the process exits. */
-    void startMeasuring() {
+    public void startMeasuring() {
         DaemonThreads.newThread("scheduling-delay", this::measure).start();
     }
 
@@ -28,7 +28,7 @@
     }
 
     /** The longest delay so far. */
-    long maxMicros() {
+    public long maxMicros() {
         return maxMicros;
     }
 }
