Look for input on its way before a stream is ended as silent

Cause: after a hold-up the timer, the connection's actor and its reader go on at once. If the actor handles the timer's message first, the time is over while the event is still unread in the kernel, in the reader's hands, or behind that message in the mailbox.

The reader marks when it has taken bytes and when it asks for more (RecordedInputStream, SocketProgress), and has no mark left once it has ended, for whatever reason.

Test: UpstreamPoolTest.aStreamWhoseNextEventIsNotDeliveredYetIsNotSilentAfterAHoldUp stops the reader alone; it failed before (UPSTREAM_STALLED) and passes now.

--- a/src/main/java/magpiehub/concurrent/Mailbox.java
+++ b/src/main/java/magpiehub/concurrent/Mailbox.java
@@ -129,6 +129,13 @@
         }
     }
 
+    /** Whether no message is queued. */
+    public boolean isEmpty() {
+        synchronized (queue) {
+            return queue.isEmpty();
+        }
+    }
+
     /** Rejects all further messages. Queued messages can still be taken. */
     public void close() {
         synchronized (queue) {
--- a/src/main/java/magpiehub/upstream/ConnectionActor.java
+++ b/src/main/java/magpiehub/upstream/ConnectionActor.java
@@ -83,11 +83,21 @@
         }
         if (!execution.isActive()) {
             execution.closeWhileIdle();
-        } else if (execution.isStreamInProgress() && nowMicros >= responses.stallDeadlineMicros(nowMicros)) {
+        } else if (execution.isStreamInProgress()
+                && nowMicros >= responses.stallDeadlineMicros(nowMicros)
+                && !hasUnhandledInput()) {
             responses.streamStalled();
         }
     }
 
+    /**
+     * Whether anything has arrived that has not been handled: after a hold-up of the process, the timer may be due
+     * before the reader has run. Checked in the order in which input passes, so that none is missed on its way.
+     */
+    private boolean hasUnhandledInput() {
+        return socket.hasUnreadBytes() || connection.progress().isInputPending() || connection.hasMessages();
+    }
+
     @Override
     public void onRemovedFromPool(ConnectionMessage.RemovedFromPool message) {
         removedFromPool = true;
--- a/src/main/java/magpiehub/upstream/ResponseReader.java
+++ b/src/main/java/magpiehub/upstream/ResponseReader.java
@@ -56,6 +56,17 @@
 
     @Override
     public void run() {
+        try {
+            ConnectionMessage.ConnectionLost end = readToEnd();
+            progress.recordActivity();
+            connection.post(end);
+        } finally {
+            progress.recordInputPosted();
+        }
+    }
+
+    /** Connects, and reads until the connection is lost; returns the message that reports how. */
+    private ConnectionMessage.ConnectionLost readToEnd() {
         String reason = "ended";
         boolean malformed = false;
         try {
@@ -68,8 +79,7 @@
         } catch (IOException | InterruptedException | RuntimeException | OutOfMemoryError e) {
             reason = e.toString();
         }
-        progress.recordActivity();
-        connection.post(new ConnectionMessage.ConnectionLost(socket, reason, malformed));
+        return new ConnectionMessage.ConnectionLost(socket, reason, malformed);
     }
 
     private void connect() throws IOException {
@@ -79,7 +89,7 @@
     }
 
     private void readResponses() throws IOException, InterruptedException {
-        HttpReader input = new HttpReader(socket.getInputStream(), context.clock());
+        HttpReader input = new HttpReader(new RecordedInputStream(socket.getInputStream(), progress), context.clock());
         for (int responses = 1; input.awaitMessage(); responses++) {
             progress.recordActivity();
             if (responses > progress.requestsWritten()) {
--- a/src/main/java/magpiehub/upstream/SocketProgress.java
+++ b/src/main/java/magpiehub/upstream/SocketProgress.java
@@ -10,6 +10,7 @@
 final class SocketProgress {
     private volatile int requestsWritten;
     private volatile boolean quiet;
+    private volatile boolean inputPending;
 
     /** Records a request before it is written, since the reader checks responses against the number of requests. */
     @SuppressWarnings("NonAtomicVolatileUpdate") // Only the connection's actor writes the count.
@@ -33,6 +34,21 @@
         quiet = false;
     }
 
+    /** Records that the reader has taken bytes, or the end of the input, from the socket. */
+    void recordInputTaken() {
+        inputPending = true;
+    }
+
+    /** Records that the reader has posted the events that the bytes it has taken complete, or has ended. */
+    void recordInputPosted() {
+        inputPending = false;
+    }
+
+    /** Whether the reader has taken bytes from the socket and has not yet posted what they complete. */
+    boolean isInputPending() {
+        return inputPending;
+    }
+
     /** Whether the quiet period after the last response has passed and nothing has been received since. */
     boolean isQuiet() {
         return quiet;
--- a/src/main/java/magpiehub/upstream/UpstreamConnection.java
+++ b/src/main/java/magpiehub/upstream/UpstreamConnection.java
@@ -117,6 +117,11 @@
         return mailbox.poll();
     }
 
+    /** Whether more messages have been posted. */
+    boolean hasMessages() {
+        return !mailbox.isEmpty();
+    }
+
     /** Rejects all further messages. */
     void closeMailbox() {
         mailbox.close();
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -49,12 +49,17 @@
 /** Race conditions that recorded exchanges can't reproduce, such as a list update between routing and write. */
 class UpstreamPoolTest {
     private static final int WINDOW_MILLIS = 2000;
+    /** How long an upstream may be silent; several intervals of the timer that notices it. */
+    private static final int SILENCE_MILLIS = 500;
+
+    private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     private final SyslogEventLog eventLog = new SyslogEventLog(System.err, "test", 1);
     private MonotonicClock clock = MonotonicClock.SYSTEM;
     private volatile CompletableFuture<String> answer = new CompletableFuture<>();
     private volatile boolean clientDisconnected;
     private String effect = "\"effect\":\"pure\"";
+    private String streamLimits = "{}";
     private Thread dispatcherThread;
     private SiteSettings site;
     private FlowController streams;
@@ -259,6 +264,34 @@
         }
     }
 
+    /**
+     * Guards against a stream that is ended as silent although its next event has come: the connection's reader gets no
+     * processor time from before the event until after the end of the time for which the upstream may be silent.
+     */
+    @Test
+    void aStreamWhoseNextEventIsNotDeliveredYetIsNotSilentAfterAHoldUp() throws Exception {
+        ReaderStoppingClock stoppingClock = new ReaderStoppingClock();
+        clock = stoppingClock;
+        streamLimits = "{\"silence_ms\":" + SILENCE_MILLIS + "}";
+        try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            startRouter(upstream, true);
+            pool.start();
+            EventListener listener = new EventListener();
+            submit(listener);
+            upstream.setSoTimeout(60_000);
+            try (Socket used = upstream.accept()) {
+                readRequest(used);
+                used.getOutputStream().write((RESPONSE_HEAD + chunk("first")).getBytes(UTF_8));
+                listener.begun.get(60, TimeUnit.SECONDS);
+                stoppingClock.stopReaders();
+                used.getOutputStream().write((chunk("second") + "0\r\n\r\n").getBytes(UTF_8));
+                Thread.sleep(2 * SILENCE_MILLIS);
+                stoppingClock.continueReaders();
+                assertEquals(event("first") + event("second"), listener.events.get(60, TimeUnit.SECONDS));
+            }
+        }
+    }
+
     /** Waits for several times as long as a connection has to be quiet, by which time the bytes have arrived, too. */
     private static void awaitReuse() throws InterruptedException {
         Thread.sleep(5 * ResponseReader.QUIET_PERIOD_MICROS / 1000);
@@ -289,10 +322,12 @@
         return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
     }
 
+    private static String chunk(String text) {
+        return Integer.toHexString(event(text).length()) + "\r\n" + event(text) + "\r\n";
+    }
+
     private static byte[] response(String text) {
-        return ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + Integer.toHexString(event(text).length()) + "\r\n" + event(text) + "\r\n0\r\n\r\n")
-                .getBytes(UTF_8);
+        return (RESPONSE_HEAD + chunk(text) + "0\r\n\r\n").getBytes(UTF_8);
     }
 
     /** Stops the threads that read from upstreams as they ask for the time, as if they got no processor time. */
@@ -329,6 +364,7 @@
 
     /** The client's side of a stream: collects the events until the stream has ended. */
     private final class EventListener implements StreamListener {
+        final CompletableFuture<Void> begun = new CompletableFuture<>();
         final CompletableFuture<String> events = new CompletableFuture<>();
         private final StreamFlow flow = streams.openStream(0, -1, "1", () -> {});
         private final StringBuilder received = new StringBuilder();
@@ -336,6 +372,7 @@
         @Override
         public void onEvent(byte[] event) {
             received.append(new String(event, UTF_8));
+            begun.complete(null);
         }
 
         @Override
@@ -444,7 +481,13 @@
                         .getBytes(UTF_8),
                 "settings"));
         streams = new FlowController(
-                StreamLimitsReader.defaults(site.routing().classes(), 64 << 20), site, clock, eventLog);
+                StreamLimitsReader.parse(
+                        ConfigurationObject.parse(streamLimits.getBytes(UTF_8), "streams.json"),
+                        site.routing().classes(),
+                        64 << 20),
+                site,
+                clock,
+                eventLog);
         pool = new UpstreamPool(site, 8, clock, eventLog, new ActorThreadPool(), streams);
         dispatcher = new RequestDispatcher(site.routing(), 7, clock, pool, endpointSource, eventLog);
         pool.setDispatcher(dispatcher);
