Judge a stream's silence by whether its own client can ask for the rest

Cause: ResponseHandler.stallDeadlineMicros took resume from the deployment's settings in force for every stream. It belongs to the request: its protocol, and the settings it was read with.

Change: StreamListener.mayEndEarly says whether the client loses nothing if the stream ends now: it asks for the rest, or has all content, as a messages client has from the finish reason on (there the 2 s hold as before, exchange messages-saved). The connection looks each 0.5 s of a silence, since that may become true.

--- a/src/main/java/magpiehub/downstream/ClientExchange.java
+++ b/src/main/java/magpiehub/downstream/ClientExchange.java
@@ -68,6 +68,11 @@
         return protocolExchange.resumesStream();
     }
 
+    @Override
+    public boolean mayEndEarly() {
+        return protocolExchange.resumesStream() || protocolExchange.hasAllContent();
+    }
+
     @Override
     public boolean isClientDisconnected() {
         return connection.isClientDisconnected();
--- a/src/main/java/magpiehub/protocol/ChatCompletionProgress.java
+++ b/src/main/java/magpiehub/protocol/ChatCompletionProgress.java
@@ -10,7 +10,7 @@
 /** Accumulates the state of a chat completion stream and exposes it in the terms of the messages API. */
 final class ChatCompletionProgress {
     private String stopReason = "end_turn";
-    private boolean finished;
+    private volatile boolean finished;
     private long promptTokens;
     private long cachedTokens;
     private long completionTokens;
@@ -44,7 +44,9 @@
     }
 
     private void readFinishReason(String reason) {
-        finished |= !reason.isEmpty();
+        if (!reason.isEmpty()) {
+            finished = true;
+        }
         stopReason = switch (reason) {
             case "length" -> "max_tokens";
             case "content_filter" -> "refusal";
@@ -64,7 +66,7 @@
         return stopReason;
     }
 
-    /** Whether the upstream has sent a finish reason; only usage and framing may follow. */
+    /** Whether the upstream has sent a finish reason; only usage and framing may follow. Thread-safe. */
     boolean isFinished() {
         return finished;
     }
--- a/src/main/java/magpiehub/protocol/MessagesExchange.java
+++ b/src/main/java/magpiehub/protocol/MessagesExchange.java
@@ -105,12 +105,17 @@
         HttpResponses.append(out, 200, "application/json", body, close);
     }
 
+    @Override
+    public boolean hasAllContent() {
+        return progress.isFinished();
+    }
+
     @Override
     public boolean tryWriteIncompleteEnd(HttpWriter out, boolean close) {
-        if (progress.isFinished()) {
+        if (hasAllContent()) {
             writeEnd(out, close);
         }
-        return progress.isFinished();
+        return hasAllContent();
     }
 
     @Override
--- a/src/main/java/magpiehub/protocol/ProtocolExchange.java
+++ b/src/main/java/magpiehub/protocol/ProtocolExchange.java
@@ -53,6 +53,14 @@
         return false;
     }
 
+    /**
+     * Whether all content of the stream has been written, so that {@link #tryWriteIncompleteEnd} can end it. May be
+     * called from any thread.
+     */
+    public boolean hasAllContent() {
+        return false;
+    }
+
     /** The listener for the events of the upstream's stream. */
     public final StreamListener streamListener() {
         return streamListener;
--- a/src/main/java/magpiehub/protocol/StreamListener.java
+++ b/src/main/java/magpiehub/protocol/StreamListener.java
@@ -21,6 +21,14 @@
      */
     void onFailure(byte[] errorEvent, StreamOutcome outcome);
 
+    /**
+     * Whether the client loses nothing if the stream ends now: it requests the rest elsewhere, or has all content. May
+     * become true during the stream. By default, it loses the rest.
+     */
+    default boolean mayEndEarly() {
+        return false;
+    }
+
     /** The stream's flow control. */
     StreamFlow flow();
 }
--- a/src/main/java/magpiehub/streaming/FlowController.java
+++ b/src/main/java/magpiehub/streaming/FlowController.java
@@ -263,14 +263,14 @@
     /**
      * The time until which a stream may be silent.
      *
-     * @param clientResumes whether the client resumes a broken stream elsewhere
+     * @param mayEndEarly whether the client loses nothing if the stream ends now
      * @param lastByteMicros when the upstream last sent an event or a comment
      * @param lastEventMicros when the upstream last sent an event
      */
     public long silenceDeadline(
             StreamFlow flow,
             String upstreamId,
-            boolean clientResumes,
+            boolean mayEndEarly,
             long lastByteMicros,
             long lastEventMicros,
             long nowMicros) {
@@ -284,7 +284,7 @@
             }
         }
         StreamLimits.ClassLimits classLimits = limitsOf(flow);
-        long maxSilence = clientResumes ? stallLimit : Math.max(stallLimit, classLimits.nonResumableSilenceMicros());
+        long maxSilence = mayEndEarly ? stallLimit : Math.max(stallLimit, classLimits.nonResumableSilenceMicros());
         return Math.min(
                 Math.max(lastByteMicros, flow.waitedUntilMicros) + maxSilence,
                 Math.max(lastEventMicros, flow.waitedUntilMicros) + classLimits.commentsOnlyMicros());
--- a/src/main/java/magpiehub/upstream/ConnectionActor.java
+++ b/src/main/java/magpiehub/upstream/ConnectionActor.java
@@ -68,7 +68,7 @@
 
     private long nextTimerMicros() {
         if (execution.isStreamInProgress()) {
-            return responses.stallDeadlineMicros(nowMicros);
+            return responses.nextStallCheckMicros(nowMicros);
         }
         if (!execution.isActive() && socket.isOpen()) {
             return execution.idleSinceMicros() + context.settings().maxIdleMicros();
--- a/src/main/java/magpiehub/upstream/ResponseHandler.java
+++ b/src/main/java/magpiehub/upstream/ResponseHandler.java
@@ -11,6 +11,7 @@
 final class ResponseHandler {
     private static final int STATUS_SERVICE_UNAVAILABLE = 503;
     private static final int STATUS_GATEWAY_TIMEOUT = 504;
+    private static final long STALL_CHECK_INTERVAL_MICROS = 500_000;
 
     private final UpstreamConnection connection;
     private final String endpointId;
@@ -172,12 +173,17 @@
         connectionLost("silent", false);
     }
 
+    /** When to check whether the stream in progress has stalled; its deadline may become earlier in the meantime. */
+    long nextStallCheckMicros(long nowMicros) {
+        return Math.min(stallDeadlineMicros(nowMicros), nowMicros + STALL_CHECK_INTERVAL_MICROS);
+    }
+
     /** The time at which the stream in progress counts as stalled if nothing arrives on it. */
     long stallDeadlineMicros(long nowMicros) {
         return streams.silenceDeadline(
                 connection.flow(),
                 endpointId,
-                context.settings().resumesStreams(),
+                response.streamListener().mayEndEarly(),
                 response.lastReceivedMicros(),
                 response.lastEventMicros(),
                 nowMicros);
--- a/src/main/java/magpiehub/upstream/UpstreamSettings.java
+++ b/src/main/java/magpiehub/upstream/UpstreamSettings.java
@@ -7,11 +7,9 @@
  *
  * @param connectTimeoutMillis the connect timeout; at least 1, since 0 would mean no timeout
  * @param maxIdleMicros how long a connection may be idle before the router closes it
- * @param resumesStreams whether clients request the rest of an interrupted stream
  * @param loadReports the parser for the fields of the site's load reports
  */
-record UpstreamSettings(
-        int connectTimeoutMillis, long maxIdleMicros, boolean resumesStreams, LoadReportParser loadReports) {
+record UpstreamSettings(int connectTimeoutMillis, long maxIdleMicros, LoadReportParser loadReports) {
     private static final long MICROS_PER_MILLI = 1000;
 
     /**
@@ -25,7 +23,6 @@
         return new UpstreamSettings(
                 (int) Math.max(1, connectTimeoutMicros / MICROS_PER_MILLI),
                 maxIdleMicros(site.idleCloseMicros()),
-                site.routing().resumesStreams(),
                 new LoadReportParser(site.loadReports()));
     }
 
--- a/src/test/java/magpiehub/SilentStreamTest.java
+++ b/src/test/java/magpiehub/SilentStreamTest.java
@@ -11,7 +11,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import magpiehub.concurrent.MonotonicClock;
 import magpiehub.streaming.SchedulingDelay;
 import org.junit.jupiter.api.Test;
@@ -31,6 +33,12 @@
     /** More than the client waits for, so that the engine never ends the connection. */
     private static final long SILENCE_MS = 20_000;
 
+    // The ids of requests, by what becomes of their streams.
+    private static final String SPOILT = "spoilt";
+    private static final String SILENT = "silent";
+    private static final String PAUSED = "paused";
+    private static final String RELOADED = "reloaded";
+
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String EVENT = "9\r\ndata: x\n\n\r\n";
     /** An event in a chunk whose size says 300 bytes more than come. */
@@ -44,6 +52,8 @@
     @TempDir
     Path folder;
 
+    private final CountDownLatch begun = new CountDownLatch(1);
+    private final CountDownLatch reloaded = new CountDownLatch(1);
     private final SchedulingDelay schedulingDelay = new SchedulingDelay();
     /** When the upstream wrote the last event of each request that it leaves silent. */
     private final Map<String, Long> lastEventMicros = new ConcurrentHashMap<>();
@@ -51,17 +61,16 @@
     @Test
     void aStreamThatBringsNothingMoreEndsWithin5sWhereItsClientDoesNotResumeIt() throws Exception {
         schedulingDelay.startMeasuring();
-        try (RouterProcess router = new RouterProcess(Files.createTempFile(folder, "router", ".json"))) {
-            router.replaceInConfiguration("\"resume\":true", "\"resume\":false");
+        try (RouterProcess router = newRouter()) {
             router.start();
             try (Socket watch = router.acceptWatch()) {
                 int port = router.awaitListeningPort();
                 router.serveConnections(this::answer);
                 Map<String, Future<StreamEnd>> clients = new HashMap<>();
-                for (String id : new String[] {"spoilt", "silent", "paused"}) {
+                for (String id : new String[] {SPOILT, SILENT, PAUSED}) {
                     clients.put(id, router.threads.submit(() -> request(port, id)));
                 }
-                assertTrue(clients.remove("paused").get().complete(), "a stream that paused was cut");
+                assertTrue(clients.remove(PAUSED).get().complete(), "a stream that paused was cut");
                 for (Map.Entry<String, Future<StreamEnd>> client : clients.entrySet()) {
                     assertEndsInTime(client.getKey(), client.getValue().get());
                 }
@@ -69,6 +78,35 @@
         }
     }
 
+    /**
+     * Guards against a stream that is ended early by a reload: whether its client resumes it is known from the settings
+     * with which its request was read.
+     */
+    @Test
+    void aStreamThatPausesIsServedWholeThoughAReloadSaysThatClientsResumeStreams() throws Exception {
+        try (RouterProcess router = newRouter()) {
+            router.start();
+            try (Socket watch = router.acceptWatch()) {
+                int port = router.awaitListeningPort();
+                router.serveConnections(this::answer);
+                Future<StreamEnd> client = router.threads.submit(() -> request(port, RELOADED));
+                assertTrue(begun.await(SILENCE_MS, TimeUnit.MILLISECONDS), "no stream has begun");
+                router.replaceInConfiguration("\"resume\":false", "\"resume\":true");
+                router.sendSighup();
+                router.awaitLogLine(" reloaded ");
+                reloaded.countDown();
+                assertTrue(client.get().complete(), "a stream that paused was cut");
+            }
+        }
+    }
+
+    /** A router whose clients do not resume streams. */
+    private RouterProcess newRouter() throws IOException {
+        RouterProcess router = new RouterProcess(Files.createTempFile(folder, "router", ".json"));
+        router.replaceInConfiguration("\"resume\":true", "\"resume\":false");
+        return router;
+    }
+
     private void assertEndsInTime(String id, StreamEnd end) {
         assertFalse(end.complete(), "the stream has its last chunk though it is incomplete: " + id);
         long waitMicros = end.endMicros() - lastEventMicros.get(id);
@@ -97,12 +135,17 @@
         try (upstream) {
             String id = RouterProcess.readRequest(ServeTest.reader(upstream));
             ServeTest.send(upstream, HEAD + EVENT);
-            if (id.equals("paused")) {
+            begun.countDown();
+            if (id.equals(RELOADED)) {
+                reloaded.await();
+                ServeTest.send(upstream, EVENT);
+            }
+            if (id.equals(PAUSED) || id.equals(RELOADED)) {
                 Thread.sleep(PAUSE_MS);
                 ServeTest.send(upstream, EVENT + LAST_CHUNK);
                 return;
             }
-            ServeTest.send(upstream, id.equals("spoilt") ? SPOILT_EVENT : EVENT);
+            ServeTest.send(upstream, id.equals(SPOILT) ? SPOILT_EVENT : EVENT);
             lastEventMicros.put(id, MonotonicClock.SYSTEM.micros());
             Thread.sleep(SILENCE_MS);
         } catch (IOException e) {
