Limit the time of a health check's whole answer, not only of each read

Seen by asking what else trusts a peer to end what it has begun: an upstream that sends the head of its answer to a health check byte by byte, each within a second, kept the check's thread and connection for as long as it liked, and no result was reported.

Cause: HealthCheck set a limit for each read only; HttpReader has one for the whole message.

Change: 1 s from the answer's first byte for all of it.

Test: UpstreamPoolTest.aHealthCheckEndsThoughItsAnswerNeverDoes failed before (still open after 10 s) and takes 1.2 s now.

--- a/src/main/java/magpiehub/upstream/HealthCheck.java
+++ b/src/main/java/magpiehub/upstream/HealthCheck.java
@@ -15,7 +15,10 @@
  * Where the site's upstreams have load reports, the health check requests one.
  */
 final class HealthCheck implements Runnable {
+    /** Time limit for the first byte of the answer, and from there for the whole answer. */
     private static final int READ_TIMEOUT_MILLIS = 1000;
+
+    private static final long MICROS_PER_MILLI = 1000;
     private static final int STATUS_OK = 200;
 
     private final UpstreamContext context;
@@ -53,6 +56,7 @@
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         requestWritten = true;
         HttpReader input = new HttpReader(socket.getInputStream(), context.clock());
+        input.setMessageTimeoutMicros(READ_TIMEOUT_MILLIS * MICROS_PER_MILLI);
         if (!input.awaitMessage()) {
             return AttemptOutcome.RESET;
         }
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -94,6 +95,26 @@
         }
     }
 
+    /** Guards against health checks that never end: an upstream sends the head of its answer byte by byte for ever. */
+    @Test
+    void aHealthCheckEndsThoughItsAnswerNeverDoes() throws Exception {
+        try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            startRouter(upstream, true);
+            dispatcher.execute(() -> pool.sendHealthCheck("e"));
+            upstream.setSoTimeout(60_000);
+            try (Socket connection = upstream.accept()) {
+                connection.getOutputStream().write("HTTP/1.1 200 OK\r\nX-Long: ".getBytes(UTF_8));
+                long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+                assertThrows(SocketException.class, () -> {
+                    while (System.nanoTime() < end) {
+                        connection.getOutputStream().write('x');
+                        Thread.sleep(100);
+                    }
+                });
+            }
+        }
+    }
+
     /** The upstream's accept backlog is full, so that connecting completes only after the list has expired. */
     @Test
     void nothingIsSentAfterTheEndpointListHasExpired() throws Exception {
