Wake for the end of a silence itself, not only at the timer's next check

Some of that is the connections' timer, which looked each 50 ms only.

Change: the timer's thread sleeps until the earliest due time that it knows of, 50 ms at most.

--- a/src/main/java/magpiehub/upstream/ConnectionTimer.java
+++ b/src/main/java/magpiehub/upstream/ConnectionTimer.java
@@ -10,7 +10,7 @@
  * removed from any thread.
  */
 final class ConnectionTimer {
-    /** Interval between two checks of the timers; a timer may fire late by this much. */
+    /** Maximum interval between two checks; a timer that is set to less than this ahead may fire late by this much. */
     private static final long CHECK_INTERVAL_MICROS = 50_000;
 
     private final MonotonicClock clock;
@@ -34,19 +34,28 @@
     }
 
     private void run() {
-        long nowMicros = clock.micros();
+        long nextCheckMicros = clock.micros() + CHECK_INTERVAL_MICROS;
         try {
             while (true) {
-                clock.sleepUntil(nowMicros + CHECK_INTERVAL_MICROS);
-                nowMicros = clock.micros();
-                for (UpstreamConnection connection : connections) {
-                    if (connection.timerDueMicros() <= nowMicros) {
-                        connection.post(new ConnectionMessage.TimerDue());
-                    }
-                }
+                clock.sleepUntil(nextCheckMicros);
+                nextCheckMicros = notifyDue(clock.micros());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Notifies the connections whose timer has expired; returns when to check again. */
+    private long notifyDue(long nowMicros) {
+        long nextCheckMicros = nowMicros + CHECK_INTERVAL_MICROS;
+        for (UpstreamConnection connection : connections) {
+            long dueMicros = connection.timerDueMicros();
+            if (dueMicros <= nowMicros) {
+                connection.post(new ConnectionMessage.TimerDue());
+            } else {
+                nextCheckMicros = Math.min(nextCheckMicros, dueMicros);
+            }
+        }
+        return nextCheckMicros;
+    }
 }
