Build stream limits and chat requests of tests in one place each

Three tests parsed deploy/streams.json's form the same way (StreamLimitsFixture now), two spelled out the request that RouterProcess.chatRequest builds, and two had the same 0.8 s after SIGTERM. UpstreamPoolTest.awaitUninterruptibly could be interrupted: it is called awaitOrKeepInterrupt.

--- a/src/test/java/magpiehub/ExchangeReplayer.java
+++ b/src/test/java/magpiehub/ExchangeReplayer.java
@@ -35,7 +35,7 @@
 import magpiehub.protocol.PlatformProtocol;
 import magpiehub.protocol.ProtocolAdapter;
 import magpiehub.streaming.FlowController;
-import magpiehub.streaming.StreamLimitsReader;
+import magpiehub.streaming.StreamLimitsFixture;
 import magpiehub.telemetry.SyslogEventLog;
 import magpiehub.upstream.UpstreamPool;
 
@@ -109,14 +109,7 @@
         ExchangePeer discoveryPeer = peer("d");
         discoveryPeer.listen();
         ActorThreadPool threadPool = new ActorThreadPool();
-        streams = new FlowController(
-                StreamLimitsReader.parse(
-                        ConfigurationObject.parse(streamLimits.getBytes(UTF_8), "streams.json"),
-                        site.routing().classes(),
-                        64 << 20),
-                site,
-                clock,
-                log);
+        streams = new FlowController(StreamLimitsFixture.parse(streamLimits, site), site, clock, log);
         UpstreamPool engines = new UpstreamPool(site, 64, clock, log, threadPool, streams);
         engines.start();
         discovery =
--- a/src/test/java/magpiehub/PlannedRestartTest.java
+++ b/src/test/java/magpiehub/PlannedRestartTest.java
@@ -21,7 +21,9 @@
  */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class PlannedRestartTest {
-    private static final long REQUEST_AFTER_SIGTERM_MICROS = 800_000;
+    /** By then a request that is taken must be answered completely before SIGKILL. */
+    static final long REQUEST_AFTER_SIGTERM_MICROS = 800_000;
+
     private static final String MESSAGES_BODY = "{\"model\":\"m\",\"max_tokens\":9,\"stream\":true,"
             + "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
     private static final String MESSAGES_REQUEST =
--- a/src/test/java/magpiehub/ServeTest.java
+++ b/src/test/java/magpiehub/ServeTest.java
@@ -29,8 +29,7 @@
  */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 public class ServeTest {
-    private static final String REQUEST = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: 1\r\n"
-            + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
+    private static final String REQUEST = RouterProcess.chatRequest("1", "60000");
 
     @TempDir
     Path folder;
--- a/src/test/java/magpiehub/UpgradeTest.java
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -52,11 +52,9 @@
             kill 'KILL', 0;
             """;
 
-    private static final long REQUEST_AFTER_SIGTERM_MICROS = 800_000;
     private static final int KEPT_CONNECTIONS = 20;
 
-    private static final String REQUEST = "POST /v1/chat/completions HTTP/1.1\r\nX-Call-Id: %s\r\n"
-            + "X-Call-Class: chat\r\nX-Budget-Ms: 60000\r\nContent-Length: 2\r\n\r\n{}";
+    private static final String BUDGET_MS = "60000";
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n";
 
@@ -130,7 +128,7 @@
     private Socket sendRequest(String id) throws IOException {
         Socket socket = new Socket(loopback, port);
         socket.setSoTimeout(30_000);
-        socket.getOutputStream().write(REQUEST.formatted(id).getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(RouterProcess.chatRequest(id, BUDGET_MS).getBytes(StandardCharsets.US_ASCII));
         return socket;
     }
 
@@ -220,9 +218,11 @@
         }
         startVersion();
         ProcessHandle.of(oldestProcessId()).orElseThrow().destroy();
-        MonotonicClock.SYSTEM.sleepUntil(MonotonicClock.SYSTEM.micros() + REQUEST_AFTER_SIGTERM_MICROS);
+        MonotonicClock.SYSTEM.sleepUntil(
+                MonotonicClock.SYSTEM.micros() + PlannedRestartTest.REQUEST_AFTER_SIGTERM_MICROS);
         for (int i = 0; i < KEPT_CONNECTIONS; i++) {
-            String answer = ServeTest.answerOrEnd(clients.get(i), answers.get(i), REQUEST.formatted("a" + i));
+            String answer = ServeTest.answerOrEnd(
+                    clients.get(i), answers.get(i), RouterProcess.chatRequest("a" + i, BUDGET_MS));
             assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 503 "), answer);
             clients.get(i).close();
         }
--- a/src/test/java/magpiehub/streaming/FlowControllerTest.java
+++ b/src/test/java/magpiehub/streaming/FlowControllerTest.java
@@ -1,6 +1,5 @@
 package magpiehub.streaming;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
@@ -54,10 +53,7 @@
         RacingClock clock = new RacingClock();
         SiteSettings site = readSite();
         String json = "{\"buffer_kb\":" + BUFFER_BYTES / 1024 + ",\"pause_ms\":" + 2 * PAUSE_MICROS / 1000 + "}";
-        StreamLimits limits = StreamLimitsReader.parse(
-                ConfigurationObject.parse(json.getBytes(UTF_8), "streams"),
-                site.routing().classes(),
-                64 << 20);
+        StreamLimits limits = StreamLimitsFixture.parse(json, site);
         FlowController controller = new FlowController(limits, site, clock, new SyslogEventLog(System.err, "test", 1));
         StreamFlow flow = controller.openStream(0, 0, "r", () -> {});
         controller.startStream(flow, "e");
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -39,7 +39,7 @@
 import magpiehub.routing.EndpointState;
 import magpiehub.streaming.FlowController;
 import magpiehub.streaming.StreamFlow;
-import magpiehub.streaming.StreamLimitsReader;
+import magpiehub.streaming.StreamLimitsFixture;
 import magpiehub.streaming.StreamOutcome;
 import magpiehub.telemetry.SyslogEventLog;
 import org.junit.jupiter.api.AfterEach;
@@ -193,7 +193,7 @@
                 used.setSoLinger(true, 0);
             }
             awaitCounter("engine_connects 2\n");
-            dispatcher.execute(() -> awaitUninterruptibly(dispatcherContinues));
+            dispatcher.execute(() -> awaitOrKeepInterrupt(dispatcherContinues));
             Thread.sleep(WINDOW_MILLIS);
             slow.accept().close();
             slow.accept().close();
@@ -204,7 +204,7 @@
         }
     }
 
-    private static void awaitUninterruptibly(CountDownLatch latch) {
+    private static void awaitOrKeepInterrupt(CountDownLatch latch) {
         try {
             latch.await();
         } catch (InterruptedException e) {
@@ -501,14 +501,7 @@
                         .replace("\"effect\":\"pure\"", effect)
                         .getBytes(UTF_8),
                 "settings"));
-        streams = new FlowController(
-                StreamLimitsReader.parse(
-                        ConfigurationObject.parse(streamLimits.getBytes(UTF_8), "streams.json"),
-                        site.routing().classes(),
-                        64 << 20),
-                site,
-                clock,
-                eventLog);
+        streams = new FlowController(StreamLimitsFixture.parse(streamLimits, site), site, clock, eventLog);
         pool = new UpstreamPool(site, 8, clock, eventLog, new ActorThreadPool(), streams);
         dispatcher = new RequestDispatcher(site.routing(), 7, clock, pool, endpointSource, eventLog);
         pool.setDispatcher(dispatcher);
