--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -53,8 +53,6 @@
     /** How long an upstream may be silent; several intervals of the timer that notices it. */
     private static final int SILENCE_MILLIS = 500;
 
-    private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
     private final SyslogEventLog eventLog = new SyslogEventLog(System.err, "test", 1);
     private MonotonicClock clock = MonotonicClock.SYSTEM;
     private volatile CompletableFuture<String> answer = new CompletableFuture<>();
@@ -187,7 +185,7 @@
             submit(new EventListener());
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
-                readRequest(used);
+                UpstreamMessages.readRequest(used);
                 pool.updateEndpoint("f", "127.0.0.1:" + slow.getLocalPort(), true);
                 dispatcher.updateEndpoints(EndpointListKind.SAVED, List.of(endpoint("e"), endpoint("f")));
                 used.setSoLinger(true, 0);
@@ -266,20 +264,20 @@
             submit(first);
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
-                readRequest(used);
-                used.getOutputStream().write(response("first"));
-                assertEquals(event("first"), first.events.get(60, TimeUnit.SECONDS));
+                UpstreamMessages.readRequest(used);
+                used.getOutputStream().write(UpstreamMessages.response("first"));
+                assertEquals(UpstreamMessages.event("first"), first.events.get(60, TimeUnit.SECONDS));
                 stoppingClock.stopReaders();
-                used.getOutputStream().write(response("first"));
+                used.getOutputStream().write(UpstreamMessages.response("first"));
                 awaitReuse();
                 EventListener second = new EventListener();
                 submit(second);
                 // The request arrives on the used connection or a new one.
                 try (Socket asked = readableOf(used, upstream)) {
-                    readRequest(asked);
+                    UpstreamMessages.readRequest(asked);
                     stoppingClock.continueReaders();
-                    asked.getOutputStream().write(response("second"));
-                    assertEquals(event("second"), second.events.get(60, TimeUnit.SECONDS));
+                    asked.getOutputStream().write(UpstreamMessages.response("second"));
+                    assertEquals(UpstreamMessages.event("second"), second.events.get(60, TimeUnit.SECONDS));
                 }
             }
         }
@@ -301,14 +299,17 @@
             submit(listener);
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
-                readRequest(used);
-                used.getOutputStream().write((RESPONSE_HEAD + chunk("first")).getBytes(UTF_8));
+                UpstreamMessages.readRequest(used);
+                used.getOutputStream()
+                        .write((UpstreamMessages.RESPONSE_HEAD + UpstreamMessages.chunk("first")).getBytes(UTF_8));
                 listener.begun.get(60, TimeUnit.SECONDS);
                 stoppingClock.stopReaders();
-                used.getOutputStream().write((chunk("second") + "0\r\n\r\n").getBytes(UTF_8));
+                used.getOutputStream().write((UpstreamMessages.chunk("second") + "0\r\n\r\n").getBytes(UTF_8));
                 Thread.sleep(2 * SILENCE_MILLIS);
                 stoppingClock.continueReaders();
-                assertEquals(event("first") + event("second"), listener.events.get(60, TimeUnit.SECONDS));
+                assertEquals(
+                        UpstreamMessages.event("first") + UpstreamMessages.event("second"),
+                        listener.events.get(60, TimeUnit.SECONDS));
             }
         }
     }
@@ -333,56 +334,6 @@
         return used;
     }
 
-    private static void readRequest(Socket connection) throws IOException {
-        HttpReader input = new HttpReader(connection.getInputStream(), MonotonicClock.SYSTEM);
-        assertTrue(input.awaitMessage());
-        input.readBody(input.readRequestHead());
-    }
-
-    private static String event(String text) {
-        return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
-    }
-
-    private static String chunk(String text) {
-        return Integer.toHexString(event(text).length()) + "\r\n" + event(text) + "\r\n";
-    }
-
-    private static byte[] response(String text) {
-        return (RESPONSE_HEAD + chunk(text) + "0\r\n\r\n").getBytes(UTF_8);
-    }
-
-    /** Stops the threads that read from upstreams as they ask for the time, as if they got no processor time. */
-    private static final class ReaderStoppingClock implements MonotonicClock {
-        private boolean stopped;
-
-        synchronized void stopReaders() {
-            stopped = true;
-        }
-
-        synchronized void continueReaders() {
-            stopped = false;
-            notifyAll();
-        }
-
-        @Override
-        public long micros() {
-            if (Thread.currentThread().getName().startsWith("upstream-reader")) {
-                awaitReadersContinue();
-            }
-            return SYSTEM.micros();
-        }
-
-        private synchronized void awaitReadersContinue() {
-            while (stopped) {
-                try {
-                    wait();
-                } catch (InterruptedException e) {
-                    throw new IllegalStateException(e);
-                }
-            }
-        }
-    }
-
     /** The client's side of a stream: collects the events until the stream has ended. */
     private final class EventListener implements StreamListener {
         final CompletableFuture<Void> begun = new CompletableFuture<>();
@@ -416,7 +367,7 @@
     private static void respond(ServerSocket upstream, String lastChunk) throws IOException {
         upstream.setSoTimeout(60_000);
         try (Socket connection = upstream.accept()) {
-            readRequest(connection);
+            UpstreamMessages.readRequest(connection);
             String event = "data: {\"choices\":[]}\n\n";
             connection
                     .getOutputStream()
