--- a/src/test/java/magpiehub/UpgradeTest.java
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -152,9 +152,11 @@
         return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII)).readLine();
     }
 
+    /** The process that was started first; its id need not be the lowest, since ids begin anew. */
     private long oldestProcessId() {
         return launcher.children()
-                .min(Comparator.comparingLong(ProcessHandle::pid))
+                .min(Comparator.comparing(
+                        process -> process.info().startInstant().orElseThrow()))
                 .orElseThrow()
                 .pid();
     }
