Log how each stream ended, request ids, repeats and refusals with their reasons

The logs could not tell a complete answer from one whose framing alone was complete. StreamEndDetector says from a stream's events whether they came to their end; for now only a counter for each kind of end and the line stream-without-end follow from it. Lines on engines name the request, and each repeat, rejection and failure has a line with its reason. No behaviour changed.

--- a/src/main/java/magpiehub/dispatch/Attempt.java
+++ b/src/main/java/magpiehub/dispatch/Attempt.java
@@ -30,6 +30,11 @@
         this.writeDeadlineMicros = writeDeadlineMicros;
     }
 
+    /** The id of the request. */
+    public String requestId() {
+        return request.id();
+    }
+
     /** The id of the endpoint that the attempt is sent to. */
     public String endpointId() {
         return endpointId;
--- a/src/main/java/magpiehub/dispatch/RequestLifecycle.java
+++ b/src/main/java/magpiehub/dispatch/RequestLifecycle.java
@@ -62,11 +62,13 @@
             // The id belongs to another request, whose client and attempts must not be confused with this one's.
             eventLog.count(RequestResult.FAILED.counterName());
             eventLog.count("ids_in_use");
+            eventLog.log("request-failed", "id", request.id(), "why", "id in use", "attempts", "0");
             client.fail("id in use");
             return;
         }
         if (requests.isFull() || shuttingDown || (rejectsUnresumable && !client.resumesStream())) {
             eventLog.count(RequestResult.REJECTED.counterName());
+            eventLog.log("request-refused", "id", request.id(), "why", rejectionReason(), "attempts", "0");
             client.reject(requests.defaultRetryAfterMicros());
             return;
         }
@@ -77,6 +79,10 @@
         policy.onRequest(clock.nowMicros(), request);
     }
 
+    private String rejectionReason() {
+        return requests.isFull() ? "too many requests" : "stopping";
+    }
+
     /** Starts forwarding the response stream to the client, unless the request or the attempt is over. */
     void streamStarted(Attempt attempt) {
         OpenRequest request = attempt.request();
@@ -188,7 +194,7 @@
      */
     void answerForShutdown(OpenRequest request) {
         if (policy.mayReject(request.id())) {
-            requests.reject(request, requests.defaultRetryAfterMicros());
+            requests.reject(request, requests.defaultRetryAfterMicros(), "stopping");
         } else {
             requests.fail(request, "stopping");
         }
--- a/src/main/java/magpiehub/dispatch/RequestTable.java
+++ b/src/main/java/magpiehub/dispatch/RequestTable.java
@@ -77,18 +77,31 @@
         return List.copyOf(requests.values());
     }
 
-    /** Cancels all attempts of a request and rejects it. */
-    void reject(OpenRequest request, long retryAfterMicros) {
+    /** Cancels all attempts of a request and rejects it; {@code reason} is logged. */
+    void reject(OpenRequest request, long retryAfterMicros, String reason) {
         cancelAttempts(request);
+        logAnswer("request-refused", request, reason);
         close(request, RequestResult.REJECTED).reject(retryAfterMicros);
     }
 
     /** Cancels all attempts of a request and answers that it failed. */
     void fail(OpenRequest request, String reason) {
         cancelAttempts(request);
+        logAnswer("request-failed", request, reason);
         close(request, RequestResult.FAILED).fail(reason);
     }
 
+    private void logAnswer(String event, OpenRequest request, String reason) {
+        eventLog.log(
+                event,
+                "id",
+                request.id(),
+                "why",
+                reason,
+                "attempts",
+                Integer.toString(request.attempts().size()));
+    }
+
     /** Removes a request and counts its result. Returns its client, which the caller may still have to answer. */
     ClientCallback close(OpenRequest request, RequestResult result) {
         ClientCallback client = request.client();
--- a/src/main/java/magpiehub/dispatch/RoutingActionExecutor.java
+++ b/src/main/java/magpiehub/dispatch/RoutingActionExecutor.java
@@ -55,6 +55,9 @@
             return;
         }
         eventLog.count("sent");
+        if (attempt.number() > 0) {
+            logRepeat(attempt);
+        }
         timers.schedule(deadlineMicros, new TimerEvent.AttemptTimedOut(attempt));
         if (writeDeadlineMicros != NO_WRITE_DEADLINE) {
             timers.schedule(writeDeadlineMicros, new TimerEvent.WriteDeadlinePassed(attempt));
@@ -62,6 +65,17 @@
         start(attempt);
     }
 
+    private void logRepeat(Attempt attempt) {
+        eventLog.log(
+                "attempt-repeated",
+                "id",
+                attempt.requestId(),
+                "engine",
+                attempt.endpointId(),
+                "attempt",
+                Integer.toString(attempt.number()));
+    }
+
     private long attemptDeadlineMicros(OpenRequest request, long timeoutMicros) {
         if (timeoutMicros == 0) {
             return request.deadlineMicros();
@@ -105,7 +119,8 @@
     public void reject(String requestId, long retryAfterMicros) {
         OpenRequest request = requests.find(requestId);
         if (request != null && !request.isStreaming()) {
-            requests.reject(request, retryAfterMicros > 0 ? retryAfterMicros : requests.defaultRetryAfterMicros());
+            requests.reject(
+                    request, retryAfterMicros > 0 ? retryAfterMicros : requests.defaultRetryAfterMicros(), "routing");
         }
     }
 
--- a/src/main/java/magpiehub/protocol/ServerSentEvents.java
+++ b/src/main/java/magpiehub/protocol/ServerSentEvents.java
@@ -5,6 +5,7 @@
 /** Parses server-sent events, each given as the bytes up to its blank line. */
 public final class ServerSentEvents {
     private static final String DATA_FIELD = "data:";
+    private static final String LINE_END = "\r\n|\n|\r";
 
     private ServerSentEvents() {}
 
@@ -16,7 +17,7 @@
     /** Returns the event's data: the values of its {@code data} fields, joined by line feeds. */
     public static String data(byte[] event) {
         StringBuilder data = new StringBuilder();
-        for (String line : new String(event, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
+        for (String line : new String(event, StandardCharsets.UTF_8).split(LINE_END)) {
             if (line.startsWith(DATA_FIELD)) {
                 // A single space after the colon is not part of the value.
                 int valueStart = line.startsWith(DATA_FIELD + " ") ? DATA_FIELD.length() + 1 : DATA_FIELD.length();
@@ -25,4 +26,15 @@
         }
         return data.toString();
     }
+
+    /** Whether one of the event's data lines has this value, apart from white space around it. */
+    public static boolean hasDataLine(byte[] event, String value) {
+        for (String line : new String(event, StandardCharsets.UTF_8).split(LINE_END)) {
+            if (line.startsWith(DATA_FIELD)
+                    && line.substring(DATA_FIELD.length()).strip().equals(value)) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/src/main/java/magpiehub/telemetry/SyslogFormatter.java
+++ b/src/main/java/magpiehub/telemetry/SyslogFormatter.java
@@ -77,6 +77,7 @@
                 || event.contains("fail")
                 || event.contains("unreadable")
                 || event.contains("broke")
+                || event.contains("without-end")
                 || event.contains("error");
         return isFault ? WARNING : INFORMATIONAL;
     }
--- a/src/main/java/magpiehub/upstream/AttemptExecution.java
+++ b/src/main/java/magpiehub/upstream/AttemptExecution.java
@@ -61,6 +61,11 @@
         return attempt;
     }
 
+    /** The id of the request of the attempt in progress. */
+    String requestId() {
+        return attempt.attempt().requestId();
+    }
+
     /** The response to the attempt in progress, or to the previous one if there is none. */
     ResponseState response() {
         return response;
@@ -86,7 +91,7 @@
 
     /** Ends the attempt because no connection could be established. */
     void connectFailed(String reason) {
-        log.connectFailed(reason);
+        log.connectFailed(requestId(), reason);
         endBeforeStream(AttemptOutcome.CONNECT_FAILED);
     }
 
--- a/src/main/java/magpiehub/upstream/ConnectionLog.java
+++ b/src/main/java/magpiehub/upstream/ConnectionLog.java
@@ -17,9 +17,9 @@
         eventLog.count("engine_connects");
     }
 
-    void connectFailed(String reason) {
+    void connectFailed(String requestId, String reason) {
         eventLog.count("connect_failures");
-        eventLog.log("connect-failed", "engine", endpointId, "error", reason);
+        eventLog.log("connect-failed", "engine", endpointId, "id", requestId, "error", reason);
     }
 
     /** The endpoint stopped accepting requests before the request was written. */
@@ -38,12 +38,12 @@
     }
 
     /** A non-stream response that does not state that the request was rejected. */
-    void errorResponse(int status) {
-        eventLog.log("engine-error", "engine", endpointId, "status", Integer.toString(status));
+    void errorResponse(String requestId, int status) {
+        eventLog.log("engine-error", "engine", endpointId, "id", requestId, "status", Integer.toString(status));
     }
 
-    void errorEvent(boolean started) {
-        eventLog.log("engine-error-event", "engine", endpointId, "begun", Boolean.toString(started));
+    void errorEvent(String requestId, boolean started) {
+        eventLog.log("engine-error-event", "engine", endpointId, "id", requestId, "begun", Boolean.toString(started));
     }
 
     /** A complete stream whose last event is of an unknown type. */
@@ -52,13 +52,48 @@
         eventLog.log("unknown-last-event", "engine", endpointId, "event", StreamEvent.excerpt(event));
     }
 
+    /** A stream has reached the end of its framing. */
+    void streamEnd(StreamEnd end) {
+        eventLog.count("stream_ends_" + end.label());
+    }
+
+    /**
+     * A stream has reached the end of its framing, and its events have no end.
+     *
+     * @param bytesFollow whether more bytes have been received behind the response
+     * @param lastEvent the last event, or null
+     */
+    void streamWithoutEnd(String requestId, StreamEnd end, boolean bytesFollow, byte[] lastEvent) {
+        eventLog.log(
+                "stream-without-end",
+                "engine",
+                endpointId,
+                "id",
+                requestId,
+                "end",
+                end.label(),
+                "bytes_follow",
+                Boolean.toString(bytesFollow),
+                "event",
+                lastEvent == null ? "" : StreamEvent.excerpt(lastEvent));
+    }
+
     /** Nothing arrived on the stream before its stall deadline. */
     void streamStalled() {
         eventLog.count("silent_streams");
     }
 
-    void connectionLost(boolean started, String reason) {
-        eventLog.log("engine-broke", "engine", endpointId, "begun", Boolean.toString(started), "why", reason);
+    void connectionLost(String requestId, boolean started, String reason) {
+        eventLog.log(
+                "engine-broke",
+                "engine",
+                endpointId,
+                "id",
+                requestId,
+                "begun",
+                Boolean.toString(started),
+                "why",
+                reason);
     }
 
     /** An exception in the router while it handled a message. */
--- a/src/main/java/magpiehub/upstream/ConnectionMessage.java
+++ b/src/main/java/magpiehub/upstream/ConnectionMessage.java
@@ -110,9 +110,11 @@
      * The end of a response stream that is complete according to its HTTP framing.
      *
      * @param reusable whether the connection may be reused for another request
+     * @param bytesFollow whether more bytes have been received behind the response
      * @param loadReport the text of the load report, or null
      */
-    record StreamCompleted(Socket socket, boolean reusable, String loadReport) implements ConnectionMessage {
+    record StreamCompleted(Socket socket, boolean reusable, boolean bytesFollow, String loadReport)
+            implements ConnectionMessage {
         @Override
         public void deliverTo(Handler handler) {
             handler.onStreamCompleted(this);
--- a/src/main/java/magpiehub/upstream/ResponseHandler.java
+++ b/src/main/java/magpiehub/upstream/ResponseHandler.java
@@ -50,7 +50,7 @@
         boolean mayReject = status == STATUS_SERVICE_UNAVAILABLE || status == STATUS_GATEWAY_TIMEOUT;
         boolean notExecuted = mayReject && message.rejected();
         if (!notExecuted) {
-            log.errorResponse(status);
+            log.errorResponse(execution.requestId(), status);
         }
         execution.endBeforeStream(notExecuted ? AttemptOutcome.FULL : AttemptOutcome.ERROR);
     }
@@ -79,7 +79,7 @@
 
     private void errorEventReceived(byte[] event) {
         boolean started = response.isStarted();
-        log.errorEvent(started);
+        log.errorEvent(execution.requestId(), started);
         socket.close();
         if (started) {
             response.endWithError(event);
@@ -118,11 +118,21 @@
             response.setLoadReport(message.loadReport());
         }
         reportUnknownLastEvent();
+        reportStreamEnd(message.bytesFollow());
         startStream();
         response.end(AttemptOutcome.OK);
         execution.finishStream();
     }
 
+    private void reportStreamEnd(boolean bytesFollow) {
+        StreamEnd end = response.streamEnd();
+        log.streamEnd(end);
+        if (!end.isComplete(context.doneMarkers().isExpected(endpointId))) {
+            log.streamWithoutEnd(execution.requestId(), end, bytesFollow, response.lastEvent());
+        }
+        context.doneMarkers().record(endpointId, end);
+    }
+
     /** Logs a last event of unknown type. The stream counts as complete regardless, since its framing is complete. */
     private void reportUnknownLastEvent() {
         byte[] lastEvent = response.lastEvent();
@@ -156,7 +166,7 @@
             return;
         }
         boolean started = response.isStarted();
-        log.connectionLost(started, reason);
+        log.connectionLost(execution.requestId(), started, reason);
         AttemptOutcome outcome = malformed ? AttemptOutcome.SPOILT : AttemptOutcome.RESET;
         if (started) {
             response.end(outcome);
--- a/src/main/java/magpiehub/upstream/ResponseReader.java
+++ b/src/main/java/magpiehub/upstream/ResponseReader.java
@@ -142,7 +142,8 @@
     /** Reads a stream and posts its events; returns the message that ends it. */
     private ConnectionMessage readStream(HttpReader input, HttpHead head) throws IOException, InterruptedException {
         input.readEvents(head, this::postEvent);
-        return new ConnectionMessage.StreamCompleted(socket, isReusable(input, head), loadReport(head));
+        return new ConnectionMessage.StreamCompleted(
+                socket, isReusable(input, head), !input.isBufferEmpty(), loadReport(head));
     }
 
     /** Posts an event; blocks while the mailbox is full, so that no event of a fast upstream is lost. */
--- a/src/main/java/magpiehub/upstream/ResponseState.java
+++ b/src/main/java/magpiehub/upstream/ResponseState.java
@@ -27,6 +27,7 @@
     private String loadReport;
 
     private byte[] lastEvent;
+    private final StreamEndDetector endDetector = new StreamEndDetector();
     /** The arrival time of the last event or comment. */
     private long lastReceivedMicros;
     /** The arrival time of the last event. */
@@ -44,6 +45,7 @@
         cachedTokens = RequestDispatcher.CACHED_TOKENS_UNKNOWN;
         loadReport = null;
         lastEvent = null;
+        endDetector.reset();
     }
 
     StreamListener streamListener() {
@@ -126,6 +128,12 @@
             loadReport = report != null ? report : loadReport;
         }
         lastEvent = event;
+        endDetector.record(event);
+    }
+
+    /** What the events say about the stream's end. */
+    StreamEnd streamEnd() {
+        return endDetector.end();
     }
 
     /** The last event, or null if none has arrived. */
--- a/src/main/java/magpiehub/upstream/StreamEvent.java
+++ b/src/main/java/magpiehub/upstream/StreamEvent.java
@@ -63,13 +63,19 @@
         return new String(event, 0, Math.min(event.length, MAX_LOGGED_BYTES), StandardCharsets.UTF_8).strip();
     }
 
-    private static boolean contains(byte[] event, String word) {
-        for (int start = 0; start + word.length() <= event.length; start++) {
+    /** Whether the bytes of an ASCII word occur in the event. */
+    static boolean contains(byte[] event, String word) {
+        return indexOf(event, word, 0) >= 0;
+    }
+
+    /** The first position from {@code from} at which the bytes of an ASCII word occur in the event, or -1. */
+    static int indexOf(byte[] event, String word, int from) {
+        for (int start = from; start + word.length() <= event.length; start++) {
             if (hasWordAt(event, start, word)) {
-                return true;
+                return start;
             }
         }
-        return false;
+        return -1;
     }
 
     private static boolean hasWordAt(byte[] event, int start, String word) {
--- a/src/main/java/magpiehub/upstream/UpstreamContext.java
+++ b/src/main/java/magpiehub/upstream/UpstreamContext.java
@@ -13,6 +13,7 @@
     private final EventLog eventLog;
     private final FlowController streams;
     private final UpstreamEndpoints endpoints = new UpstreamEndpoints();
+    private final DoneMarkerHistory doneMarkers = new DoneMarkerHistory();
     private volatile UpstreamSettings settings;
     /** Set once, before the threads that use it start. */
     private RequestDispatcher dispatcher;
@@ -40,6 +41,10 @@
         return endpoints;
     }
 
+    DoneMarkerHistory doneMarkers() {
+        return doneMarkers;
+    }
+
     UpstreamSettings settings() {
         return settings;
     }
--- a/src/main/java/magpiehub/upstream/UpstreamPool.java
+++ b/src/main/java/magpiehub/upstream/UpstreamPool.java
@@ -89,12 +89,14 @@
     /** Removes an endpoint that no longer exists. */
     public void removeEndpoint(String id) {
         context.endpoints().remove(id);
+        context.doneMarkers().remove(id);
         streams.removeUpstream(id);
     }
 
     /** Removes all endpoints that are not in this set, the ids of a complete endpoint list. */
     public void retainEndpoints(Set<String> ids) {
         context.endpoints().retain(ids);
+        context.doneMarkers().retain(ids);
         streams.retainUpstreams(ids);
     }
 
