End a stream with its last chunk only if its events have come to their end

Cause: ResponseHandler.streamCompleted took the end of the HTTP framing for the end of the answer. An engine that ends its framing early, a chunk size that reads 0, or a Content-Length that is too short, was served as whole; so was an answer without any event.

Fix: StreamEndDetector reads the stream's own end from its events: [DONE], else a finish reason or the usage behind the choices. A stream with an open choice, a cut last event or no event has broken: its client's connection ends without the last chunk, and before the first event the attempt counts as spoilt and is repeated where that is allowed. An engine that ended its last 8 streams with [DONE] is expected to go on (DoneMarkerHistory), so that a cut behind the finish reason is seen too; one exception makes it unknown again. Streams whose events say nothing of an end, as of another protocol, are judged by their framing as before.

--- a/src/main/java/magpiehub/upstream/ResponseHandler.java
+++ b/src/main/java/magpiehub/upstream/ResponseHandler.java
@@ -104,7 +104,10 @@
         execution.finishStream();
     }
 
-    /** Handles the end of a stream that is complete according to its HTTP framing. */
+    /**
+     * Handles the end of a stream that is complete according to its HTTP framing. It is served only if its events have
+     * come to their end too; otherwise it has broken.
+     */
     void streamCompleted(ConnectionMessage.StreamCompleted message) {
         if (!execution.isActive()) {
             execution.closeWhileIdle();
@@ -113,27 +116,32 @@
         if (response.hasEnded()) {
             return;
         }
+        reportUnknownLastEvent();
+        if (!isStreamEndComplete(message.bytesFollow())) {
+            connectionLost("stream without end", true);
+            return;
+        }
         execution.responseCompleted(message.reusable());
         if (response.loadReport() == null) {
             response.setLoadReport(message.loadReport());
         }
-        reportUnknownLastEvent();
-        reportStreamEnd(message.bytesFollow());
-        startStream();
         response.end(AttemptOutcome.OK);
         execution.finishStream();
     }
 
-    private void reportStreamEnd(boolean bytesFollow) {
+    /** Whether the events of a stream have come to their end; records how the stream ended. */
+    private boolean isStreamEndComplete(boolean bytesFollow) {
         StreamEnd end = response.streamEnd();
+        boolean complete = end.isComplete(context.doneMarkers().isExpected(endpointId));
         log.streamEnd(end);
-        if (!end.isComplete(context.doneMarkers().isExpected(endpointId))) {
+        if (!complete) {
             log.streamWithoutEnd(execution.requestId(), end, bytesFollow, response.lastEvent());
         }
         context.doneMarkers().record(endpointId, end);
+        return complete;
     }
 
-    /** Logs a last event of unknown type. The stream counts as complete regardless, since its framing is complete. */
+    /** Logs a last event of unknown type. */
     private void reportUnknownLastEvent() {
         byte[] lastEvent = response.lastEvent();
         if (lastEvent != null && !StreamEvent.isKnown(lastEvent)) {
--- a/src/main/java/magpiehub/upstream/StreamEnd.java
+++ b/src/main/java/magpiehub/upstream/StreamEnd.java
@@ -6,9 +6,9 @@
     DONE("done"),
     /** A choice has its finish reason, or the usage has come behind the choices; {@code [DONE]} has not. */
     FINISHED("finished"),
-    /** No event is one of the chat completions protocol, so that the events don't tell. */
+    /** The events don't tell: none has an end, and none says that there is more to come. */
     UNKNOWN("unknown"),
-    /** There is no event, or the stream is cut between or inside the events of a chat completion. */
+    /** There is no event, the last one is cut, or a choice waits for its finish reason. */
     MISSING("missing");
 
     private final String label;
--- a/src/main/java/magpiehub/upstream/StreamEndDetector.java
+++ b/src/main/java/magpiehub/upstream/StreamEndDetector.java
@@ -15,7 +15,9 @@
     private static final String FINISH_REASON_KEY = "\"finish_reason\"";
 
     private boolean hasData;
-    private boolean hasChoices;
+    /** Whether a choice has told that it has no finish reason yet. */
+    private boolean hasOpenChoice;
+
     private boolean isFinished;
     private boolean isDone;
     private byte[] lastEvent;
@@ -23,7 +25,7 @@
     /** Prepares for the next stream. */
     void reset() {
         hasData = false;
-        hasChoices = false;
+        hasOpenChoice = false;
         isFinished = false;
         isDone = false;
         lastEvent = null;
@@ -32,8 +34,8 @@
     /** Records the next event or comment of the stream. */
     void record(byte[] event) {
         hasData |= !StreamEvent.isComment(event);
-        hasChoices |= StreamEvent.contains(event, "\"choices\"");
-        isFinished |= hasFinishReason(event) || isUsageBehindChoices(event);
+        recordFinishReasons(event);
+        isFinished |= isUsageBehindChoices(event);
         isDone |= isDone(event);
         lastEvent = event;
     }
@@ -49,31 +51,32 @@
         if (isFinished) {
             return StreamEnd.FINISHED;
         }
-        return hasChoices ? StreamEnd.MISSING : StreamEnd.UNKNOWN;
+        return hasOpenChoice ? StreamEnd.MISSING : StreamEnd.UNKNOWN;
     }
 
     private static boolean isDone(byte[] event) {
         return StreamEvent.contains(event, DONE) && ServerSentEvents.hasDataLine(event, DONE);
     }
 
-    /** Whether a choice has a finish reason. Generated text can't hold the key, since its quotes would be escaped. */
-    private static boolean hasFinishReason(byte[] event) {
+    /** Reads the finish reasons. Generated text can't hold the key, since its quotes would be escaped. */
+    private void recordFinishReasons(byte[] event) {
         int key = StreamEvent.indexOf(event, FINISH_REASON_KEY, 0);
         while (key >= 0) {
-            int valueStart = skip(event, key + FINISH_REASON_KEY.length(), ':');
-            // The empty text, like null, stands for no reason yet.
-            if (byteAt(event, valueStart) == '"' && byteAt(event, valueStart + 1) != '"') {
-                return true;
+            int colon = skipSpaces(event, key + FINISH_REASON_KEY.length());
+            if (byteAt(event, colon) == ':') {
+                int value = skipSpaces(event, colon + 1);
+                // The empty text, like null, stands for no reason yet.
+                boolean finished = byteAt(event, value) == '"' && byteAt(event, value + 1) != '"';
+                isFinished |= finished;
+                hasOpenChoice |= !finished;
             }
             key = StreamEvent.indexOf(event, FINISH_REASON_KEY, key + 1);
         }
-        return false;
     }
 
-    /** The first position from {@code start} with neither white space nor {@code separator}. */
-    private static int skip(byte[] event, int start, char separator) {
+    private static int skipSpaces(byte[] event, int start) {
         int position = start;
-        while (byteAt(event, position) == separator || byteAt(event, position) == ' ') {
+        while (byteAt(event, position) == ' ') {
             position++;
         }
         return position;
--- a/src/test/java/magpiehub/IncompleteStreamTest.java
+++ b/src/test/java/magpiehub/IncompleteStreamTest.java
@@ -19,7 +19,7 @@
 /** Guards against ending a stream with the last chunk though its engine has not sent a whole answer. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class IncompleteStreamTest {
-    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n";
     private static final String TEXT =
             "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n";
     private static final String FINISH =
@@ -27,6 +27,7 @@
     private static final String USAGE = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5,"
             + "\"completion_tokens\":2,\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n";
     private static final String DONE = "data: [DONE]\n\n";
+    private static final String JSON = "{\"choices\":[{\"message\":{\"content\":\"a\"},\"finish_reason\":\"stop\"}]}";
     private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final String WHOLE = chunked(TEXT, TEXT, FINISH, USAGE, DONE) + LAST_CHUNK;
     /** More streams than an engine has to end with the marker before it is expected. */
@@ -76,7 +77,7 @@
         ONE_BYTE_A_CHUNK(chunked((TEXT + FINISH + DONE).split("")) + LAST_CHUNK),
         TRAILERS(chunked(TEXT, FINISH, DONE) + "0\r\nX-Checksum: 1\r\n\r\n"),
         ANOTHER_PROTOCOL(chunked("data: {\"seal\":\"q\"}\n\n") + LAST_CHUNK),
-        A_JSON_BODY("Content-Length: 43\r\n\r\n{\"choices\":[{\"finish_reason\":\"stop\",\"x\":1}]}");
+        A_JSON_BODY("Content-Length: " + JSON.length() + "\r\n\r\n" + JSON);
 
         private final String answer;
 
--- a/src/test/java/magpiehub/upstream/StreamEndDetectorTest.java
+++ b/src/test/java/magpiehub/upstream/StreamEndDetectorTest.java
@@ -46,7 +46,7 @@
     @ValueSource(
             strings = {
                 TEXT,
-                "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"\\\"finish_reason\\\":\\\"stop\\\"\"}}]}\n\n",
+                "data: {\"choices\":[{\"delta\":{\"content\":\"\\\"finish_reason\\\":\\\"stop\\\"\"}}]}\n\n",
                 "data: {\"choices\":[{\"delta\":{\"content\":\"finish_reason\"},\"finish_reason\":\"\"}]}\n\n",
                 "data: {\"choices\":[{\"delta\":{\"content\":\"[DONE]\"},\"finish_reason\":null}]}\n\n",
                 "data: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":null}],\"usage\":{}}\n\n",
@@ -70,9 +70,10 @@
     }
 
     @Test
-    void aStreamOfAnotherProtocolDoesNotTell() {
+    void aStreamWithoutMarkerAndFinishReasonsDoesNotTell() {
         assertEquals(StreamEnd.UNKNOWN, endOf("data: x\n\n"));
         assertEquals(StreamEnd.UNKNOWN, endOf("data: {\"seal\":\"q\"}"));
+        assertEquals(StreamEnd.UNKNOWN, endOf("data: {\"choices\":[{\"delta\":{\"content\":\"finish_reason\"}}]}\n\n"));
         assertEquals(StreamEnd.MISSING, endOf("data: {\"cho"));
     }
 
