Reuse no engine connection whose end has come within its quiet period

What callers saw: a request refused though its engine was up: it had been written to a connection that the engine had closed behind its last answer.

Cause: after the quiet period ResponseReader looked at the number of available bytes, which is 0 at the end of the input too, marked the connection as quiet, and only then read the end; a request written in between ended as a reset.

Fix: the look is a read with the shortest time limit, which sees bytes and an end alike.

--- a/src/main/java/magpiehub/upstream/ResponseReader.java
+++ b/src/main/java/magpiehub/upstream/ResponseReader.java
@@ -18,13 +18,16 @@
  * <p>A faulty upstream may send more bytes some milliseconds after a complete response. They must not pass for the
  * response to the next request. The time that has passed since the response does not show that there are none, since
  * this thread need not have run in the meantime: the whole process may have been stopped. Therefore the reader itself
- * waits for the {@linkplain #QUIET_PERIOD_MICROS quiet period}, then looks for bytes that it has not read, and records
- * that there are none; no request is written on the socket before that.
+ * waits for the {@linkplain #QUIET_PERIOD_MICROS quiet period}, then looks for bytes or an end of the input that it has not
+ * read, and records that there are none; no request is written on the socket before that.
  */
 final class ResponseReader implements Runnable {
     /** The time after a response within which a faulty upstream's further bytes arrive. */
     static final long QUIET_PERIOD_MICROS = 20_000;
 
+    /** The shortest wait for input that a socket allows. */
+    private static final int INPUT_CHECK_MILLIS = 1;
+
     /** Time limit for reading a response head, from its first byte, which the upstream sends with the first token. */
     private static final long HEAD_TIMEOUT_MICROS = 1_000_000;
 
@@ -105,19 +108,32 @@
         long completedMicros = context.clock().micros();
         connection.post(end);
         if (isReusable(input, head)) {
-            awaitQuietPeriod(completedMicros + QUIET_PERIOD_MICROS);
+            awaitQuietPeriod(input, completedMicros + QUIET_PERIOD_MICROS);
         }
     }
 
     /** Waits for the end of the quiet period after a response, and records whether nothing has arrived by then. */
-    private void awaitQuietPeriod(long endMicros) throws IOException, InterruptedException {
+    private void awaitQuietPeriod(HttpReader input, long endMicros) throws IOException, InterruptedException {
         context.clock().sleepUntil(endMicros);
-        if (socket.getInputStream().available() == 0) {
+        if (!hasInput(input)) {
             progress.recordQuietPeriod();
             context.eventLog().count("engine_connections_quiet");
         }
     }
 
+    /** Whether bytes or the end of the input have arrived; an end does not show in the number of available bytes. */
+    private boolean hasInput(HttpReader input) throws IOException {
+        socket.setSoTimeout(INPUT_CHECK_MILLIS);
+        try {
+            input.awaitMessage();
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } finally {
+            socket.setSoTimeout(0);
+        }
+    }
+
     /** Reads a response head within a time limit; an endless head would block the request until its deadline. */
     private HttpHead readHead(HttpReader input) throws IOException {
         socket.setSoTimeout(HEAD_TIMEOUT_MILLIS);
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -283,6 +283,25 @@
         }
     }
 
+    /** Guards against a request that is written to a connection whose end has arrived within its quiet period. */
+    @Test
+    void aConnectionThatItsUpstreamHasClosedIsNotReused() throws Exception {
+        try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            startRouter(upstream, true);
+            EventListener first = new EventListener();
+            submit(first);
+            upstream.setSoTimeout(60_000);
+            try (Socket used = upstream.accept()) {
+                UpstreamMessages.readRequest(used);
+                used.getOutputStream().write(UpstreamMessages.response("first"));
+                used.shutdownOutput();
+                first.events.get(60, TimeUnit.SECONDS);
+                awaitReuse();
+            }
+        }
+        assertFalse(eventLog.counters().contains("engine_connections_quiet"), eventLog.counters());
+    }
+
     /**
      * Guards against a stream that is ended as silent although its next event has come: the connection's reader gets no
      * processor time from before the event until after the end of the time for which the upstream may be silent.
