Wait with reading while a client's requests wait, and end an actor's turn in time

Cause: a client's mailbox was bounded by the bytes of bodies, of which such requests have none, and its reader went on reading while the actor could not keep up. And an actor kept its pool thread for as long as messages came.

Fix: at most 8 requests of a connection wait for its actor; then its reader waits, and the client is not read from. A turn of a client's actor ends after 8 flushes, and an actor with more messages takes its place behind the others.

--- a/src/main/java/magpiehub/concurrent/Mailbox.java
+++ b/src/main/java/magpiehub/concurrent/Mailbox.java
@@ -84,7 +84,7 @@
             startTurn = enqueue(message, bytes);
         }
         if (startTurn) {
-            threadPool.execute(this::runTurns);
+            threadPool.execute(this::runTurn);
         }
         return true;
     }
@@ -107,7 +107,7 @@
             startTurn = enqueue(message, bytes);
         }
         if (startTurn) {
-            threadPool.execute(this::runTurns);
+            threadPool.execute(this::runTurn);
         }
         return true;
     }
@@ -170,16 +170,15 @@
         return claimed;
     }
 
-    /** Runs turns on a pool thread until the mailbox is empty after one. */
-    private void runTurns() {
-        while (true) {
-            turn.run();
-            synchronized (queue) {
-                if (queue.isEmpty()) {
-                    turnActive = false;
-                    return;
-                }
+    /** Runs one turn on a pool thread, and submits another one if the mailbox is not empty after it. */
+    private void runTurn() {
+        turn.run();
+        synchronized (queue) {
+            if (queue.isEmpty()) {
+                turnActive = false;
+                return;
             }
         }
+        threadPool.execute(this::runTurn);
     }
 }
--- a/src/main/java/magpiehub/downstream/ClientConnection.java
+++ b/src/main/java/magpiehub/downstream/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicBoolean;
 import magpiehub.concurrent.Mailbox;
 import magpiehub.http.Sockets;
@@ -26,6 +27,10 @@
      */
     private static final long FIRST_REQUEST_TIMEOUT_MICROS = 2_500_000;
 
+    /** The requests that may wait for the actor; then the reader waits, so that the client is not read from. */
+    private static final int MAX_UNHANDLED_REQUESTS = 8;
+
+    private final Semaphore requestPermits = new Semaphore(MAX_UNHANDLED_REQUESTS);
     private final Socket socket;
     private final ListenerServices services;
     private final Mailbox<ClientMessage> mailbox;
@@ -116,8 +121,12 @@
         mailbox.post(message);
     }
 
-    /** Posts a request; returns false if it does not fit or the connection has ended. */
-    boolean postRequest(ClientMessage.RequestReceived request) {
+    /**
+     * Posts a request once the actor has taken most of the earlier ones: a client may send requests faster than they
+     * are handled. Returns false if it does not fit or the connection has ended.
+     */
+    boolean postRequest(ClientMessage.RequestReceived request) throws InterruptedException {
+        requestPermits.acquire();
         return mailbox.post(request, request.body().length);
     }
 
@@ -229,9 +238,15 @@
         idleSinceMicros = micros;
     }
 
-    /** Called by the actor when a complete request has arrived. */
+    /** Called by the actor when it takes a request. */
     void markRequestReceived() {
         receivedRequest = true;
+        requestPermits.release();
+    }
+
+    /** Called by the actor when it closes the connection: the reader must not wait for it any more. */
+    void releaseReader() {
+        requestPermits.release(MAX_UNHANDLED_REQUESTS);
     }
 
     /** Called by the actor when it handles an {@link ClientMessage.EvictIfIdle}. */
--- a/src/main/java/magpiehub/downstream/ClientConnectionActor.java
+++ b/src/main/java/magpiehub/downstream/ClientConnectionActor.java
@@ -16,6 +16,9 @@
  * while the client does not read. {@link #responseFlow} may be called from any thread.
  */
 final class ClientConnectionActor {
+    /** After so many flushes the turn ends, so that other actors get one although more messages have come. */
+    private static final int MAX_FLUSHES_PER_TURN = 8;
+
     private final ClientConnection connection;
     private final Socket socket;
     private final Mailbox<ClientMessage> mailbox;
@@ -65,13 +68,15 @@
     }
 
     private void handleMessages(OutputStream out) throws IOException {
-        ClientMessage message = mailbox.poll();
-        while (message != null && !closeState.isEnded()) {
+        for (int flushes = 0; flushes < MAX_FLUSHES_PER_TURN && !closeState.isEnded(); flushes++) {
+            ClientMessage message = mailbox.poll();
+            if (message == null) {
+                return;
+            }
             handleUntilFlush(message);
             writer.flush(out);
             writer.reportWritten(handler.currentFlow());
             handler.onBufferWritten();
-            message = mailbox.poll();
         }
     }
 
@@ -106,6 +111,7 @@
         connection.markClientDisconnected();
         Sockets.closeQuietly(socket);
         mailbox.close();
+        connection.releaseReader();
         dropMessages();
         if (closed) {
             return;
--- a/src/main/java/magpiehub/downstream/ClientRequestReader.java
+++ b/src/main/java/magpiehub/downstream/ClientRequestReader.java
@@ -49,7 +49,7 @@
         } catch (SocketTimeoutException e) {
             connection.post(new ClientMessage.MalformedRequest(REQUEST_TIMED_OUT, "request incomplete"), 0);
             discardInput();
-        } catch (IOException e) {
+        } catch (IOException | InterruptedException e) {
             // The client has disconnected; it can't be answered.
         } catch (RuntimeException | OutOfMemoryError e) {
             services.eventLog().count("reader_exceptions");
@@ -72,7 +72,7 @@
      * Reads requests and posts them. Returns true at the end of the input, false if the client was disconnected because
      * the mailbox was full.
      */
-    private boolean readRequests() throws IOException {
+    private boolean readRequests() throws IOException, InterruptedException {
         HttpReader in = new HttpReader(socket.getInputStream(), services.clock());
         in.setMessageTimeoutMicros(REQUEST_TIMEOUT_MICROS);
         while (in.awaitMessage()) {
@@ -87,7 +87,7 @@
     }
 
     /** Reads a request and posts it; returns false if the mailbox did not accept it. */
-    private boolean readRequest(HttpReader in) throws IOException {
+    private boolean readRequest(HttpReader in) throws IOException, InterruptedException {
         HttpHead head = in.readRequestHead();
         int bodyBytes = BodyFraming.maxBodyBytes(head);
         if (!services.bodyBudget().tryReserve(bodyBytes)) {
--- a/src/test/java/magpiehub/FloodTest.java
+++ b/src/test/java/magpiehub/FloodTest.java
@@ -6,6 +6,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -19,6 +20,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A router process whose clients pipeline many requests and disconnect, or whose engine sends endless responses. */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -29,6 +32,10 @@
     private static final long MAX_ATTEMPT_DELAY_NANOS = 100_000_000;
 
     private static final int MAX_LATE_ATTEMPTS = 2;
+    /** How long a client floods the router. */
+    private static final long FLOOD_NANOS = 5_000_000_000L;
+    /** The time that the other clients give the router. */
+    private static final long MAX_WAIT_NANOS = 2_000_000_000L;
     /** The id of the request whose response never ends. */
     private static final String ENDLESS_ID = "endless";
 
@@ -88,6 +95,57 @@
         assertTrue(late.size() <= MAX_LATE_ATTEMPTS, "forwarded after their clients had disconnected: " + late);
     }
 
+    /**
+     * A client sends small requests on one connection without pause and reads the answers, or none of them: the others
+     * are answered in time, and nothing in the router fails for want of memory.
+     */
+    @ParameterizedTest(name = "{0}, reads: {1}")
+    @CsvSource({"/up, true", "/up, false", "/counters, true", "/counters, false"})
+    void smallRequestsWithoutPauseDelayNoOtherClient(String path, boolean reads) throws Exception {
+        try (RouterProcess router = new RouterProcess(Files.createTempFile(folder, "junit", ".tmp"))) {
+            router.start();
+            try (Socket watch = router.acceptWatch()) {
+                int port = router.awaitListeningPort();
+                router.serveConnections(this::answerRequests);
+                long end = System.nanoTime() + FLOOD_NANOS;
+                try (Socket flooding = new Socket(RouterProcess.LOOPBACK, port)) {
+                    router.threads.execute(() -> floodWithoutPause(flooding, path));
+                    if (reads) {
+                        router.threads.execute(() -> readToEnd(flooding));
+                    }
+                    for (int i = 0; System.nanoTime() < end; i++) {
+                        long begin = System.nanoTime();
+                        assertEquals("HTTP/1.1 200 OK", requestStatusLine(port, "other" + i, "2000"));
+                        long waited = System.nanoTime() - begin;
+                        assertTrue(waited <= MAX_WAIT_NANOS, "answered after " + waited / 1_000_000 + " ms");
+                        Thread.sleep(20);
+                    }
+                }
+                String counters = get(port, "/counters");
+                assertFalse(counters.contains("_exceptions"), counters);
+            }
+        }
+    }
+
+    private static void floodWithoutPause(Socket client, String path) {
+        byte[] requests = ("GET " + path + " HTTP/1.1\r\n\r\n").repeat(100).getBytes(StandardCharsets.UTF_8);
+        try {
+            while (true) {
+                client.getOutputStream().write(requests);
+            }
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
+    private static void readToEnd(Socket client) {
+        try {
+            client.getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
     /**
      * An endless response fails its attempt and nothing else: the client gets one final answer that is not 200, and the
      * next request is served.
--- a/src/test/java/magpiehub/RouterProcess.java
+++ b/src/test/java/magpiehub/RouterProcess.java
@@ -34,6 +34,23 @@
             "magpiehub.Main",
             "serve");
 
+    /** As {@link #COMMAND}, with all the options by which the platform's command limits memory. */
+    static final List<String> PLATFORM_COMMAND = List.of(
+            ProcessHandle.current().info().command().orElse("java"),
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-Xms64m",
+            "-Xmx64m",
+            "-Xmn24m",
+            "-XX:MaxMetaspaceSize=32m",
+            "-XX:ReservedCodeCacheSize=16m",
+            "-Djdk.nio.maxCachedBufferSize=16384",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "magpiehub.Main",
+            "serve");
+
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final int ACCEPT_TIMEOUT_MS = 30_000;
     private static final int BACKLOG = 64;
@@ -116,6 +133,7 @@
     /** Starts the router by a command; like the platform, sets discovery's address in an environment variable too. */
     void start(List<String> command) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command).directory(workingDirectory.toFile());
+        builder.environment().put("MALLOC_ARENA_MAX", "2");
         builder.environment().put("ROUTER_CONFIG", config.toString());
         builder.environment().keySet().removeAll(List.of("ROUTER_LISTEN", "ROUTER_NAME"));
         builder.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.getLocalPort());
