Bound the threads that work for connections by the memory limit

Cause: only descriptors bounded the connections. Each stream has up to three threads (client's reader, engine's reader, an actor in a blocked write), and the JVM touches some 90 KB of a thread's stack (smaps: 840 stacks, 76 MB resident, at a peak of 195 MB; heap and JVM 119 MB). memory_mb was read and not used.

Fix: ThreadBudget derives from memory_mb, the heap and the JVM's own need how many threads there may be, and a request that would need more is rejected (requests_shed_for_threads).

--- a/src/main/java/magpiehub/concurrent/ActorThreadPool.java
+++ b/src/main/java/magpiehub/concurrent/ActorThreadPool.java
@@ -28,12 +28,23 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    private final ThreadBudget budget;
     private final ArrayDeque<Runnable> pendingTurns = new ArrayDeque<>();
     private final ArrayList<Worker> workers = new ArrayList<>();
     private int idleWorkers;
     /** When a thread last started a turn or was added. If that is long ago, all threads are in long-running turns. */
     private long lastProgressNanos = System.nanoTime();
 
+    /** Creates a pool whose threads count against a budget. */
+    public ActorThreadPool(ThreadBudget budget) {
+        this.budget = budget;
+    }
+
+    /** The budget of this pool, which the pools of the same connections' readers share. */
+    public ThreadBudget budget() {
+        return budget;
+    }
+
     private static final class Worker extends Thread {
         /** When the current blocking call began; 0 if there is none. Written only by this thread. */
         private volatile long blockingSinceNanos;
@@ -109,6 +120,7 @@
             Worker worker = new Worker(this::runTurns);
             worker.start();
             workers.add(worker);
+            budget.threadStarted();
             lastProgressNanos = nowNanos;
         } catch (OutOfMemoryError e) {
             // The list holds only started threads, so the pool is consistent and they will run the pending turns.
@@ -142,6 +154,7 @@
                 long leftNanos = untilNanos - System.nanoTime();
                 if (leftNanos <= 0 && workers.size() > CORE_THREADS) {
                     workers.remove(Thread.currentThread());
+                    budget.threadEnded();
                     return null;
                 }
                 idleWorkers++;
--- a/src/main/java/magpiehub/concurrent/CachedThreadPool.java
+++ b/src/main/java/magpiehub/concurrent/CachedThreadPool.java
@@ -19,14 +19,20 @@
     private static final long NANOS_PER_MICRO = 1000;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    private final ThreadBudget budget;
     private final String threadName;
     private final long keepAliveNanos;
     /** Idle workers, longest idle first. The last one is reused first, so that the others can time out. */
     private final ArrayDeque<Worker> idleWorkers = new ArrayDeque<>();
 
-    /** Creates an empty pool with the default keep-alive time. */
-    public CachedThreadPool(String threadName) {
-        this(threadName, DEFAULT_KEEP_ALIVE_MICROS);
+    /**
+     * Creates an empty pool with the default keep-alive time.
+     *
+     * @param threadName the name of all threads of the pool
+     * @param budget counts the threads of the pool
+     */
+    public CachedThreadPool(String threadName, ThreadBudget budget) {
+        this(threadName, DEFAULT_KEEP_ALIVE_MICROS, budget);
     }
 
     /**
@@ -34,8 +40,10 @@
      *
      * @param threadName the name of all threads of the pool
      * @param keepAliveMicros how long an idle thread waits for work before it exits
+     * @param budget counts the threads of the pool
      */
-    public CachedThreadPool(String threadName, long keepAliveMicros) {
+    CachedThreadPool(String threadName, long keepAliveMicros, ThreadBudget budget) {
+        this.budget = budget;
         this.threadName = threadName;
         this.keepAliveNanos = keepAliveMicros * NANOS_PER_MICRO;
     }
@@ -51,12 +59,22 @@
             idleWorker = idleWorkers.pollLast();
         }
         if (idleWorker == null) {
-            DaemonThreads.newThread(threadName, new Worker(work)).start();
+            startWorker(work);
         } else {
             idleWorker.handOver(work);
         }
     }
 
+    private void startWorker(Runnable work) {
+        budget.threadStarted();
+        try {
+            DaemonThreads.newThread(threadName, new Worker(work)).start();
+        } catch (OutOfMemoryError e) {
+            budget.threadEnded();
+            throw e;
+        }
+    }
+
     /** The run loop of one thread. */
     private final class Worker implements Runnable {
         /** Guards {@link #nextWork}; the worker waits on it. */
@@ -76,6 +94,8 @@
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt(); // Not expected: idle workers are not interrupted.
+            } finally {
+                budget.threadEnded();
             }
         }
 
--- a/src/main/java/magpiehub/config/RouterConfigurationKeys.java
+++ b/src/main/java/magpiehub/config/RouterConfigurationKeys.java
@@ -36,8 +36,8 @@
     /** The resource limits of the process; an object with the next two keys. */
     static final String LIMITS = "limits";
     /**
-     * The memory limit of the process; MiB; default {@value #DEFAULT_MEMORY_MB}. Its type is checked, but the limit in
-     * effect is set by the JVM's options.
+     * The memory limit of the process; MiB; default {@value #DEFAULT_MEMORY_MB}. It bounds the threads that work for
+     * connections; the heap is set by the JVM's options.
      */
     static final String MEMORY_MB = "memory_mb";
 
--- a/src/main/java/magpiehub/downstream/ClientListener.java
+++ b/src/main/java/magpiehub/downstream/ClientListener.java
@@ -67,7 +67,7 @@
                 streams,
                 MAILBOX_BYTES + streams.maxBufferBytes(),
                 actorThreads,
-                new CachedThreadPool("client-reader"),
+                new CachedThreadPool("client-reader", actorThreads.budget()),
                 connections,
                 new RequestBodyBudget(),
                 drain,
--- a/src/main/java/magpiehub/downstream/ClientMessageHandler.java
+++ b/src/main/java/magpiehub/downstream/ClientMessageHandler.java
@@ -163,6 +163,11 @@
             completeResponse(true);
             return;
         }
+        if (services.actorThreads().budget().isExhausted(services.dispatcher().openRequests())) {
+            services.eventLog().count("requests_shed_for_threads");
+            reject(protocolExchange, lastResponse);
+            return;
+        }
         StreamFlow flow = services.streams()
                 .openStream(
                         protocolExchange.request().classIndex(),
--- a/src/main/java/magpiehub/lifecycle/Router.java
+++ b/src/main/java/magpiehub/lifecycle/Router.java
@@ -11,6 +11,7 @@
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
+import magpiehub.concurrent.ThreadBudget;
 import magpiehub.config.ConfigurationException;
 import magpiehub.config.HostPort;
 import magpiehub.config.RouterConfiguration;
@@ -61,7 +62,7 @@
     private final ProcessSignals signals;
     private final ConnectionLimits connectionLimits;
     private final MonotonicClock clock = MonotonicClock.SYSTEM;
-    private final ActorThreadPool threads = new ActorThreadPool();
+    private final ActorThreadPool threads;
     private final SyslogEventLog log;
     /** The current settings; protocols read them for each request. */
     private final AtomicReference<SiteSettings> site;
@@ -90,6 +91,8 @@
         this.configuration = configuration;
         this.signals = signals;
         this.connectionLimits = ConnectionLimits.forSockets(configuration.maxSockets());
+        this.threads = new ActorThreadPool(ThreadBudget.forMemory(
+                configuration.memoryMb(), Runtime.getRuntime().maxMemory()));
         this.log = startLog();
         this.site = new AtomicReference<>(configuration.site());
         this.streams = createStreams();
--- a/src/main/java/magpiehub/upstream/UpstreamPool.java
+++ b/src/main/java/magpiehub/upstream/UpstreamPool.java
@@ -30,7 +30,7 @@
     private final FlowController streams;
     private final int maxConnections;
     private final ActorThreadPool actorThreads;
-    private final CachedThreadPool readers = new CachedThreadPool("upstream-reader");
+    private final CachedThreadPool readers;
     private final ConnectionTimer timer;
     private final UpstreamConnection.Listener connectionListener = new ConnectionListener();
 
@@ -58,6 +58,7 @@
         this.streams = streams;
         this.maxConnections = maxConnections;
         this.actorThreads = actorThreads;
+        this.readers = new CachedThreadPool("upstream-reader", actorThreads.budget());
         this.timer = new ConnectionTimer(clock);
     }
 
--- a/src/test/java/magpiehub/ExchangeReplayer.java
+++ b/src/test/java/magpiehub/ExchangeReplayer.java
@@ -23,6 +23,7 @@
 import java.util.regex.Pattern;
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.DaemonThreads;
+import magpiehub.concurrent.ThreadBudget;
 import magpiehub.config.ConfigurationObject;
 import magpiehub.config.SiteSettings;
 import magpiehub.config.SiteSettingsParser;
@@ -108,7 +109,7 @@
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
         ExchangePeer discoveryPeer = peer("d");
         discoveryPeer.listen();
-        ActorThreadPool threadPool = new ActorThreadPool();
+        ActorThreadPool threadPool = new ActorThreadPool(ThreadBudget.unlimited());
         streams = new FlowController(StreamLimitsFixture.parse(streamLimits, site), site, clock, log);
         UpstreamPool engines = new UpstreamPool(site, 64, clock, log, threadPool, streams);
         engines.start();
--- a/src/test/java/magpiehub/concurrent/ActorThreadPoolTest.java
+++ b/src/test/java/magpiehub/concurrent/ActorThreadPoolTest.java
@@ -14,7 +14,7 @@
 class ActorThreadPoolTest {
     private static final int CORE_THREADS = 4;
 
-    private final ActorThreadPool pool = new ActorThreadPool();
+    private final ActorThreadPool pool = new ActorThreadPool(ThreadBudget.unlimited());
     private final CountDownLatch release = new CountDownLatch(1);
 
     private void awaitRelease() {
--- a/src/test/java/magpiehub/concurrent/CachedThreadPoolTest.java
+++ b/src/test/java/magpiehub/concurrent/CachedThreadPoolTest.java
@@ -33,14 +33,14 @@
     @Test
     void anIdleThreadIsReused() throws InterruptedException {
         // A thread may not be idle again yet when the next task is submitted, so a few more threads are allowed.
-        assertTrue(runSequentially(new CachedThreadPool("t", LONG_KEEP_ALIVE_MICROS), 1000)
+        assertTrue(runSequentially(new CachedThreadPool("t", LONG_KEEP_ALIVE_MICROS, ThreadBudget.unlimited()), 1000)
                         .size()
                 < 100);
     }
 
     @Test
     void blockingWorkDoesNotDelayOtherWork() throws InterruptedException {
-        CachedThreadPool pool = new CachedThreadPool("t", LONG_KEEP_ALIVE_MICROS);
+        CachedThreadPool pool = new CachedThreadPool("t", LONG_KEEP_ALIVE_MICROS, ThreadBudget.unlimited());
         CountDownLatch all = new CountDownLatch(50);
         for (int i = 0; i < 50; i++) {
             pool.execute(() -> {
@@ -57,7 +57,7 @@
 
     @Test
     void anIdleThreadExitsAfterTheKeepAliveTime() throws InterruptedException {
-        for (Thread t : runSequentially(new CachedThreadPool("t", 1000), 1)) {
+        for (Thread t : runSequentially(new CachedThreadPool("t", 1000, ThreadBudget.unlimited()), 1)) {
             t.join(30_000);
             assertEquals(Thread.State.TERMINATED, t.getState());
         }
@@ -66,7 +66,7 @@
     /** A race: work submitted while an idle thread times out must be run exactly once. */
     @Test
     void workSubmittedWhileAThreadExitsRunsExactlyOnce() throws InterruptedException {
-        CachedThreadPool pool = new CachedThreadPool("t", 0);
+        CachedThreadPool pool = new CachedThreadPool("t", 0, ThreadBudget.unlimited());
         AtomicInteger done = new AtomicInteger();
         CountDownLatch all = new CountDownLatch(20_000);
         for (int i = 0; i < 20_000; i++) {
--- a/src/test/java/magpiehub/concurrent/MailboxTest.java
+++ b/src/test/java/magpiehub/concurrent/MailboxTest.java
@@ -112,7 +112,7 @@
         CountDownLatch unhandled = new CountDownLatch(posters * messagesEach);
         AtomicInteger running = new AtomicInteger();
         AtomicInteger overlaps = new AtomicInteger();
-        mailbox.attach(new ActorThreadPool(), () -> {
+        mailbox.attach(new ActorThreadPool(ThreadBudget.unlimited()), () -> {
             if (running.getAndIncrement() != 0) {
                 overlaps.incrementAndGet();
             }
@@ -136,7 +136,7 @@
     @Test
     void aTurnIsRepeatedUntilTheMailboxIsEmpty() throws InterruptedException {
         CountDownLatch unhandled = new CountDownLatch(3);
-        mailbox.attach(new ActorThreadPool(), () -> {
+        mailbox.attach(new ActorThreadPool(ThreadBudget.unlimited()), () -> {
             mailbox.poll();
             unhandled.countDown();
         });
--- a/src/test/java/magpiehub/discovery/VerifiedRegistryClient.java
+++ b/src/test/java/magpiehub/discovery/VerifiedRegistryClient.java
@@ -13,6 +13,7 @@
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
+import magpiehub.concurrent.ThreadBudget;
 import magpiehub.config.ConfigurationObject;
 import magpiehub.config.EndpointEntry;
 import magpiehub.config.SiteSettings;
@@ -98,7 +99,7 @@
                 64,
                 clock,
                 timedLog,
-                new ActorThreadPool(),
+                new ActorThreadPool(ThreadBudget.unlimited()),
                 new FlowController(
                         StreamLimitsReader.defaults(site.routing().classes(), 64 << 20), site, clock, timedLog));
         client = new RegistryClient(settings, () -> site, upstreams, clock, timedLog, seed);
--- a/src/test/java/magpiehub/discovery/platform/PlatformDiscoveryTest.java
+++ b/src/test/java/magpiehub/discovery/platform/PlatformDiscoveryTest.java
@@ -14,6 +14,7 @@
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
+import magpiehub.concurrent.ThreadBudget;
 import magpiehub.config.ConfigurationObject;
 import magpiehub.config.SiteSettings;
 import magpiehub.config.SiteSettingsParser;
@@ -47,7 +48,7 @@
                     8,
                     clock,
                     log,
-                    new ActorThreadPool(),
+                    new ActorThreadPool(ThreadBudget.unlimited()),
                     new FlowController(
                             StreamLimitsReader.defaults(site.routing().classes(), 64 << 20), site, clock, log));
             PlatformDiscovery discovery = new PlatformDiscovery(
--- a/src/test/java/magpiehub/upstream/IdleConnectionsTest.java
+++ b/src/test/java/magpiehub/upstream/IdleConnectionsTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import magpiehub.concurrent.CachedThreadPool;
 import magpiehub.concurrent.MonotonicClock;
+import magpiehub.concurrent.ThreadBudget;
 import magpiehub.config.ConfigurationObject;
 import magpiehub.config.SiteSettings;
 import magpiehub.config.SiteSettingsParser;
@@ -96,8 +97,8 @@
 
     private UpstreamConnection addIdle(String endpointId) {
         ConnectionTimer timer = new ConnectionTimer(MonotonicClock.SYSTEM);
-        UpstreamConnection connection =
-                new UpstreamConnection(endpointId, context, new CachedThreadPool("unused"), timer, null);
+        UpstreamConnection connection = new UpstreamConnection(
+                endpointId, context, new CachedThreadPool("unused", ThreadBudget.unlimited()), timer, null);
         idle.add(connection);
         return connection;
     }
--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -23,6 +23,7 @@
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.DaemonThreads;
 import magpiehub.concurrent.MonotonicClock;
+import magpiehub.concurrent.ThreadBudget;
 import magpiehub.config.ConfigurationObject;
 import magpiehub.config.SiteSettings;
 import magpiehub.config.SiteSettingsParser;
@@ -472,7 +473,7 @@
                         .getBytes(UTF_8),
                 "settings"));
         streams = new FlowController(StreamLimitsFixture.parse(streamLimits, site), site, clock, eventLog);
-        pool = new UpstreamPool(site, 8, clock, eventLog, new ActorThreadPool(), streams);
+        pool = new UpstreamPool(site, 8, clock, eventLog, new ActorThreadPool(ThreadBudget.unlimited()), streams);
         dispatcher = new RequestDispatcher(site.routing(), 7, clock, pool, endpointSource, eventLog);
         pool.setDispatcher(dispatcher);
         dispatcherThread = DaemonThreads.newThread("dispatcher", dispatcher::run);
