Pass on events that an engine writes slowly, and let slow reads of requests delay nobody

Causes: silence was measured between complete events. And the write of a request blocks its actor's thread, but was not marked as a blocking call, so that four such writes held up the shared pool, which then grew by one thread in 20 to 50 ms.

Fix: 16 bytes of an event count as a sign of life (an engine that dribbles byte by byte is still silent, exchange stream-dribble). The write is marked, and the pool adds as many threads at once as have blocked, 32 at most.

ActorThreadPoolTest.manyTurnsThatBlockAtOnceDelayOthersForAFewChecksOnly: 45 checks of 50 ms before, 6 allowed, passes. MailboxTest, ExchangesTest, ArchitectureTest, SilentStreamTest, StreamFaultRunTest pass.

--- a/src/main/java/magpiehub/concurrent/ActorThreadPool.java
+++ b/src/main/java/magpiehub/concurrent/ActorThreadPool.java
@@ -15,10 +15,12 @@
  * while it is held.
  */
 public final class ActorThreadPool {
-    /** The number of threads that are kept alive; more are started only by {@link #addWorkerIfStalled}. */
+    /** The number of threads that are kept alive; more are started only by {@link #addWorkersIfStalled}. */
     private static final int CORE_THREADS = 4;
 
     private static final int MAX_THREADS = 1024;
+    /** The most threads that are added at once. */
+    private static final int MAX_ADDED_AT_ONCE = 32;
     /** A thread is added when no thread has become free for this long. */
     private static final long STALLED_AFTER_NANOS = 20_000_000;
     /** How long a thread beyond the core size may be idle before it exits. */
@@ -84,7 +86,7 @@
             if (idleWorkers > 0) {
                 pendingTurns.notify();
             } else {
-                addWorkerIfStalled();
+                addWorkersIfStalled();
             }
         }
     }
@@ -96,45 +98,56 @@
     public void checkForStall() {
         synchronized (pendingTurns) {
             if (!pendingTurns.isEmpty() && idleWorkers == 0) {
-                addWorkerIfStalled();
+                addWorkersIfStalled();
             }
         }
     }
 
     /**
-     * Adds a thread if the pool is below its core size, if no thread has started a turn for
-     * {@link #STALLED_AFTER_NANOS}, or if fewer threads than the core size are unblocked. If there is no memory for
-     * another thread, the pending turns wait for the existing ones; the error is thrown only if there are none. The
-     * caller holds the monitor.
+     * Adds a thread if no thread has started a turn for {@link #STALLED_AFTER_NANOS}, and as many as are missing to the
+     * core size of unblocked ones. Many turns may be about to block, so the more have blocked, the more are added at
+     * once. The caller holds the monitor.
      */
-    private void addWorkerIfStalled() {
+    private void addWorkersIfStalled() {
         long nowNanos = System.nanoTime();
-        boolean progressing = nowNanos - lastProgressNanos < STALLED_AFTER_NANOS;
-        if (workers.size() >= CORE_THREADS && progressing && unblockedWorkers(nowNanos) >= CORE_THREADS) {
-            return;
-        }
-        if (workers.size() >= MAX_THREADS) {
-            return;
+        int blocked = blockedWorkers(nowNanos);
+        int unblocked = workers.size() - blocked;
+        int missing = Math.max(CORE_THREADS, Math.min(blocked, MAX_ADDED_AT_ONCE)) - unblocked;
+        int stalled = nowNanos - lastProgressNanos >= STALLED_AFTER_NANOS ? 1 : 0;
+        int count = Math.min(Math.max(missing, stalled), pendingTurns.size());
+        for (int i = 0; i < count && workers.size() < MAX_THREADS; i++) {
+            if (!addWorker(nowNanos)) {
+                return;
+            }
         }
+    }
+
+    /**
+     * Adds a thread. If there is no memory for it, returns false, and the pending turns wait for the existing threads;
+     * the error is thrown only if there are none. The caller holds the monitor.
+     */
+    private boolean addWorker(long nowNanos) {
         try {
             Worker worker = new Worker(this::runTurns);
             worker.start();
             workers.add(worker);
             budget.threadStarted();
             lastProgressNanos = nowNanos;
+            return true;
         } catch (OutOfMemoryError e) {
             // The list holds only started threads, so the pool is consistent and they will run the pending turns.
             if (workers.isEmpty()) {
                 throw e;
             }
+            return false;
         }
     }
 
-    private int unblockedWorkers(long nowNanos) {
-        int count = workers.size();
+    private int blockedWorkers(long nowNanos) {
+        int count = 0;
         for (Worker worker : workers) {
             if (worker.isBlocked(nowNanos)) {
-                count--;
+                count++;
             }
         }
         return count;
--- a/src/main/java/magpiehub/http/EventHandler.java
+++ b/src/main/java/magpiehub/http/EventHandler.java
@@ -11,4 +11,11 @@
      * @param event its bytes, which the handler may keep
      */
     void onEvent(byte[] event) throws IOException, InterruptedException;
+
+    /**
+     * Called when further bytes of an event or line have been read that is not complete.
+     *
+     * @param count their number
+     */
+    default void onPartialEvent(int count) {}
 }
--- a/src/main/java/magpiehub/http/EventSplitter.java
+++ b/src/main/java/magpiehub/http/EventSplitter.java
@@ -21,6 +21,9 @@
                 handler.onEvent(takeEvent());
             }
         }
+        if (event.length() > 0) {
+            handler.onPartialEvent(Math.min(count, event.length()));
+        }
         if (event.length() > HttpLimits.MAX_BODY_BYTES) {
             throw new HttpException(502, "event too large");
         }
--- a/src/main/java/magpiehub/upstream/ConnectionSocket.java
+++ b/src/main/java/magpiehub/upstream/ConnectionSocket.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.http.Sockets;
 
 /**
@@ -53,7 +54,12 @@
 
     /** Writes to the current socket; blocks while its send buffer is full. */
     void write(byte[] bytes) throws IOException {
-        socket.getOutputStream().write(bytes);
+        ActorThreadPool.enterBlockingCall();
+        try {
+            socket.getOutputStream().write(bytes);
+        } finally {
+            ActorThreadPool.exitBlockingCall();
+        }
     }
 
     /** Whether bytes have arrived on the current socket that its reader has not taken; true also if it is closed. */
--- a/src/main/java/magpiehub/upstream/ResponseHandler.java
+++ b/src/main/java/magpiehub/upstream/ResponseHandler.java
@@ -202,7 +202,7 @@
                 connection.flow(),
                 endpointId,
                 response.streamListener().mayEndEarly(),
-                response.lastReceivedMicros(),
+                Math.max(response.lastReceivedMicros(), connection.progress().eventProgressMicros()),
                 response.lastEventMicros(),
                 nowMicros);
     }
--- a/src/main/java/magpiehub/upstream/ResponseReader.java
+++ b/src/main/java/magpiehub/upstream/ResponseReader.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import magpiehub.config.HostPort;
+import magpiehub.http.EventHandler;
 import magpiehub.http.HttpException;
 import magpiehub.http.HttpHead;
 import magpiehub.http.HttpReader;
@@ -25,6 +26,9 @@
     /** The time after a response within which a faulty upstream's further bytes arrive. */
     static final long QUIET_PERIOD_MICROS = 20_000;
 
+    /** With fewer bytes within the time for which a stream may be silent, its upstream makes no progress. */
+    private static final int MIN_PROGRESS_BYTES = 16;
+
     /** The shortest wait for input that a socket allows. */
     private static final int INPUT_CHECK_MILLIS = 1;
 
@@ -157,11 +161,31 @@
 
     /** Reads a stream and posts its events; returns the message that ends it. */
     private ConnectionMessage readStream(HttpReader input, HttpHead head) throws IOException, InterruptedException {
-        input.readEvents(head, this::postEvent);
+        input.readEvents(head, new StreamReader());
         return new ConnectionMessage.StreamCompleted(
                 socket, isReusable(input, head), !input.isBufferEmpty(), loadReport(head));
     }
 
+    /** Posts the events of one stream, and records the progress within an event that the upstream writes slowly. */
+    private final class StreamReader implements EventHandler {
+        private int unrecordedBytes;
+
+        @Override
+        public void onEvent(byte[] event) throws IOException, InterruptedException {
+            unrecordedBytes = 0;
+            postEvent(event);
+        }
+
+        @Override
+        public void onPartialEvent(int count) {
+            unrecordedBytes += count;
+            if (unrecordedBytes >= MIN_PROGRESS_BYTES) {
+                unrecordedBytes = 0;
+                progress.recordEventProgress(context.clock().micros());
+            }
+        }
+    }
+
     /** Posts an event; blocks while the mailbox is full, so that no event of a fast upstream is lost. */
     private void postEvent(byte[] event) throws IOException, InterruptedException {
         FlowController streams = context.streams();
--- a/src/main/java/magpiehub/upstream/SocketProgress.java
+++ b/src/main/java/magpiehub/upstream/SocketProgress.java
@@ -11,6 +11,7 @@
     private volatile int requestsWritten;
     private volatile boolean quiet;
     private volatile boolean inputPending;
+    private volatile long eventProgressMicros;
 
     /** Records a request before it is written, since the reader checks responses against the number of requests. */
     @SuppressWarnings("NonAtomicVolatileUpdate") // Only the connection's actor writes the count.
@@ -49,6 +50,16 @@
         return inputPending;
     }
 
+    /** Records that a considerable part of an event has been read. */
+    void recordEventProgress(long nowMicros) {
+        eventProgressMicros = nowMicros;
+    }
+
+    /** When a considerable part of an event was last read; 0 if none was. */
+    long eventProgressMicros() {
+        return eventProgressMicros;
+    }
+
     /** Whether the quiet period after the last response has passed and nothing has been received since. */
     boolean isQuiet() {
         return quiet;
--- a/src/test/java/magpiehub/concurrent/ActorThreadPoolTest.java
+++ b/src/test/java/magpiehub/concurrent/ActorThreadPoolTest.java
@@ -13,6 +13,11 @@
 @Timeout(60)
 class ActorThreadPoolTest {
     private static final int CORE_THREADS = 4;
+    private static final int BLOCKING_TURNS = 48;
+    /** As long as the connections' monitor waits between two checks. */
+    private static final long CHECK_PERIOD_MS = 50;
+    /** An event may be held back for 0.3 s. */
+    private static final int MAX_CHECKS = 6;
 
     private final ActorThreadPool pool = new ActorThreadPool(ThreadBudget.unlimited());
     private final CountDownLatch release = new CountDownLatch(1);
@@ -73,6 +78,27 @@
         release.countDown();
     }
 
+    /** Guards against turns that wait while writes to many peers block at the same time. */
+    @Test
+    void manyTurnsThatBlockAtOnceDelayOthersForAFewChecksOnly() throws InterruptedException {
+        for (int i = 0; i < BLOCKING_TURNS; i++) {
+            pool.execute(() -> {
+                ActorThreadPool.enterBlockingCall();
+                awaitRelease();
+                ActorThreadPool.exitBlockingCall();
+            });
+        }
+        CountDownLatch done = new CountDownLatch(1);
+        pool.execute(done::countDown);
+        int checks = 0;
+        while (!done.await(CHECK_PERIOD_MS, TimeUnit.MILLISECONDS)) {
+            pool.checkForStall();
+            checks++;
+        }
+        release.countDown();
+        assertTrue(checks <= MAX_CHECKS, checks + " checks");
+    }
+
     /** The pool is not stalled, as one thread has just started a turn; a thread is added because the others block. */
     @Test
     void blockedThreadsDoNotCountTowardsTheCoreSize() throws InterruptedException {
