--- a/src/test/java/magpiehub/ClientDisconnectTest.java
+++ b/src/test/java/magpiehub/ClientDisconnectTest.java
@@ -53,6 +53,7 @@
             replayer.step("e1> HTTP/1.1 200 OK");
             replayer.step("e1> Transfer-Encoding: chunked");
             replayer.step("e1> ");
+            replayer.step("e1>~ data: [DONE]\\n\\n");
             replayer.step("e1>.");
             replayer.step("stays= served at 0");
         }
