Send no id again whose client has left, also not by the other process of an upgrade

Cause: an id was known only while its request was open in this process.

A claimed id is answered as one in use; an id whose request was answered may come again as before. Ids are new with each request by the protocol, so no ordinary client meets this.

--- a/src/main/java/magpiehub/dispatch/RequestDispatcher.java
+++ b/src/main/java/magpiehub/dispatch/RequestDispatcher.java
@@ -64,7 +64,7 @@
         this.eventLog = eventLog;
         this.mailbox = new Mailbox<>(clock, MAILBOX_CAPACITY_BYTES);
         this.clock = new TurnClock(clock);
-        this.requests = new RequestTable(settings, mailbox, eventLog);
+        this.requests = new RequestTable(settings, mailbox, eventLog, new LocalRequestClaims(clock));
         this.watch = new EndpointWatch(settings, endpointSource, timers, this.clock);
         RoutingActionExecutor actions = new RoutingActionExecutor(
                 requests, timers, this.clock, mailbox, fleet, endpointSource, watch, eventLog);
@@ -75,6 +75,11 @@
                 new DispatcherEventHandler(lifecycle, shutdown, requests, watch, this.clock, policy, fleet, eventLog);
     }
 
+    /** Uses claims that other processes know too, in place of this process's own. To be called before {@link #run}. */
+    public void useClaims(RequestClaims claims) {
+        requests.useClaims(claims);
+    }
+
     // ---- The dispatcher's thread ----------------------------------------------------------------------
 
     /** Handles messages and timers until the thread is interrupted. */
--- a/src/main/java/magpiehub/dispatch/RequestLifecycle.java
+++ b/src/main/java/magpiehub/dispatch/RequestLifecycle.java
@@ -60,10 +60,7 @@
         }
         if (requests.contains(request.id()) || policy.isTracking(request.id())) {
             // The id belongs to another request, whose client and attempts must not be confused with this one's.
-            eventLog.count(RequestResult.FAILED.counterName());
-            eventLog.count("ids_in_use");
-            eventLog.log("request-failed", "id", request.id(), "why", "id in use", "attempts", "0");
-            client.fail("id in use");
+            failForIdInUse(request, client);
             return;
         }
         if (requests.isFull() || shuttingDown || (rejectsUnresumable && !client.resumesStream())) {
@@ -72,6 +69,10 @@
             client.reject(requests.defaultRetryAfterMicros());
             return;
         }
+        if (!requests.tryClaim(request.id())) {
+            failForIdInUse(request, client);
+            return;
+        }
         OpenRequest openRequest = new OpenRequest(request, client, payload);
         requests.add(openRequest);
         eventLog.count("taken");
@@ -79,6 +80,13 @@
         policy.onRequest(clock.nowMicros(), request);
     }
 
+    private void failForIdInUse(RoutingRequest request, ClientCallback client) {
+        eventLog.count(RequestResult.FAILED.counterName());
+        eventLog.count("ids_in_use");
+        eventLog.log("request-failed", "id", request.id(), "why", "id in use", "attempts", "0");
+        client.fail("id in use");
+    }
+
     private String rejectionReason() {
         return requests.isFull() ? "too many requests" : "stopping";
     }
--- a/src/main/java/magpiehub/dispatch/RequestTable.java
+++ b/src/main/java/magpiehub/dispatch/RequestTable.java
@@ -22,11 +22,14 @@
     private final Map<String, OpenRequest> requests = new HashMap<>();
     private final Mailbox<DispatcherMessage> mailbox;
     private final EventLog eventLog;
+    private RequestClaims claims;
     private int maxOpenRequests;
     private long defaultRetryAfterMicros;
 
     /** Creates an empty table that posts the ends of cancelled attempts to {@code mailbox}. */
-    RequestTable(RoutingSettings settings, Mailbox<DispatcherMessage> mailbox, EventLog eventLog) {
+    RequestTable(
+            RoutingSettings settings, Mailbox<DispatcherMessage> mailbox, EventLog eventLog, RequestClaims claims) {
+        this.claims = claims;
         this.mailbox = mailbox;
         this.eventLog = eventLog;
         updateSettings(settings);
@@ -68,6 +71,16 @@
         return requests.get(requestId);
     }
 
+    /** Replaces the claims; called before the first request. */
+    void useClaims(RequestClaims newClaims) {
+        claims = newClaims;
+    }
+
+    /** Claims the id of a request for {@link #add}; returns false if another request has claimed it. */
+    boolean tryClaim(String requestId) {
+        return claims.tryClaim(requestId);
+    }
+
     void add(OpenRequest request) {
         requests.put(request.id(), request);
     }
@@ -107,10 +120,17 @@
         ClientCallback client = request.client();
         request.markAnswered();
         requests.remove(request.id());
+        if (result != RequestResult.ABANDONED || !mayHaveRun(request)) {
+            claims.release(request.id());
+        }
         eventLog.count(result.counterName());
         return client;
     }
 
+    private static boolean mayHaveRun(OpenRequest request) {
+        return request.attempts().stream().anyMatch(Attempt::isWritten);
+    }
+
     void cancelAttempts(OpenRequest request) {
         for (Attempt attempt : request.attempts()) {
             cancel(attempt);
--- a/src/main/java/magpiehub/lifecycle/Router.java
+++ b/src/main/java/magpiehub/lifecycle/Router.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
@@ -20,6 +21,7 @@
 import magpiehub.discovery.EndpointSource;
 import magpiehub.discovery.RegistryClient;
 import magpiehub.discovery.platform.PlatformDiscovery;
+import magpiehub.dispatch.RequestClaims;
 import magpiehub.dispatch.RequestDispatcher;
 import magpiehub.downstream.ClientListener;
 import magpiehub.downstream.ListenerSocket;
@@ -185,14 +187,23 @@
                 settings, siteSettings.zones(), siteSettings.routing().ownZone(), configuration.seed(), log);
     }
 
-    private RequestDispatcher createDispatcher() {
+    private RequestDispatcher createDispatcher() throws IOException {
         ZoneHealth zoneHealth = siteFailover == null ? new ConnectFailureZoneHealth() : siteFailover;
         RequestDispatcher created = new RequestDispatcher(
                 configuration.site().routing(), configuration.seed(), clock, upstreams, discovery, log, zoneHealth);
         upstreams.setDispatcher(created);
+        if (configuration.inheritsListener()) {
+            created.useClaims(openSharedClaims());
+        }
         return created;
     }
 
+    private RequestClaims openSharedClaims() throws IOException {
+        String name = "magpiehub-" + configuration.name().replaceAll("[^A-Za-z0-9._-]", "_") + ".requests";
+        return SharedRequestClaims.open(
+                temporaryFolder().resolve(name), () -> Instant.now().getEpochSecond());
+    }
+
     private AdminCommandHandler createAdmin() {
         if (configuration.console() == null) {
             return null;
--- a/src/test/java/magpiehub/UpgradeTest.java
+++ b/src/test/java/magpiehub/UpgradeTest.java
@@ -201,6 +201,32 @@
         }
     }
 
+    /** Guards against an id that runs twice: its client leaves the old process and sends it to the new one. */
+    @Test
+    void anIdOfTheOldProcessIsNotSentByTheNewOne() throws Exception {
+        int first = startVersion();
+        assertTrue(callConsole(first, "status").startsWith("SUCCESS active"));
+        Socket leaving = sendRequest("left");
+        Socket staying = sendRequest("open");
+        try (Socket one = acceptRequest();
+                Socket other = acceptRequest()) {
+            leaving.close();
+            startVersion();
+            ProcessHandle.of(oldestProcessId()).orElseThrow().destroy();
+            ServeTest.readUntil(launcherOutput, " stopping ");
+            for (String id : List.of("left", "open")) {
+                try (Socket again = sendRequest(id)) {
+                    assertTrue(readStatusLine(again).startsWith("HTTP/1.1 504 "), "the id has run twice: " + id);
+                }
+            }
+            try (Socket another = sendRequest("another")) {
+                acceptRequest().getOutputStream().write(RESPONSE.getBytes(StandardCharsets.US_ASCII));
+                assertEquals("HTTP/1.1 200 OK", readStatusLine(another));
+            }
+        }
+        staying.close();
+    }
+
     /** Guards against streams that SIGKILL cuts: the old process takes none late that can't be resumed elsewhere. */
     @Test
     void noStreamThatCannotBeResumedBeginsLateInAnUpgrade() throws Exception {
