See the end of a client's input behind much that is not answered in time

Cause: the end of the input shows only behind all that was sent before it. After a malformed request input was discarded at some 15 MB/s as a guard against clients that never stop, and requests that nobody would answer any more were still parsed one by one.

Fix: while a request is in progress 1 MiB is discarded between two pauses of 1 ms (16 KiB else), and once too many requests wait, all further input is discarded.

--- a/src/main/java/magpiehub/downstream/ClientConnection.java
+++ b/src/main/java/magpiehub/downstream/ClientConnection.java
@@ -46,6 +46,8 @@
      * first thread to detect it, before the corresponding message passes through the mailboxes.
      */
     private volatile boolean clientDisconnected;
+    /** Further requests are not answered. */
+    private volatile boolean ignoresInput;
     /** When the monitor is to post a {@link ClientMessage.TimerExpired}. */
     private volatile long timerMicros;
 
@@ -244,6 +246,15 @@
         requestPermits.release();
     }
 
+    /** Called by the actor: no further request will be answered, so that the reader need not read them. */
+    void ignoreInput() {
+        ignoresInput = true;
+    }
+
+    boolean ignoresInput() {
+        return ignoresInput;
+    }
+
     /** Called by the actor when it closes the connection: the reader must not wait for it any more. */
     void releaseReader() {
         requestPermits.release(MAX_UNHANDLED_REQUESTS);
--- a/src/main/java/magpiehub/downstream/ClientMessageHandler.java
+++ b/src/main/java/magpiehub/downstream/ClientMessageHandler.java
@@ -127,6 +127,7 @@
         } else if (!requests.offer(message)) {
             // No ordinary client pipelines so many requests: the one in progress is answered, then the connection ends.
             closeState.closeAfterResponse();
+            connection.ignoreInput();
             requests.drop(message);
         }
     }
--- a/src/main/java/magpiehub/downstream/ClientRequestReader.java
+++ b/src/main/java/magpiehub/downstream/ClientRequestReader.java
@@ -23,10 +23,12 @@
     private static final int REQUEST_TIMED_OUT = 408;
 
     private static final int DISCARD_BUFFER_BYTES = 16 * 1024;
-    /** Beyond this size, input that is only discarded is read slowly. */
-    private static final int FAST_DISCARD_BYTES = 1 << 20;
+    /** After so many discarded bytes the reader pauses, as a guard against clients that never stop sending. */
+    private static final int DISCARD_BYTES_BETWEEN_PAUSES = 1 << 20;
+    /** The same while no request is in progress that would have to be cancelled once the client has gone. */
+    private static final int IDLE_DISCARD_BYTES_BETWEEN_PAUSES = DISCARD_BUFFER_BYTES;
 
-    private static final long SLOW_DISCARD_PAUSE_MILLIS = 1;
+    private static final long DISCARD_PAUSE_MILLIS = 1;
 
     private final ClientConnection connection;
     private final Socket socket;
@@ -82,6 +84,9 @@
                 connection.disconnectAfterOverflow();
                 return false;
             }
+            if (connection.ignoresInput()) {
+                discardInput();
+            }
         }
         return true;
     }
@@ -110,25 +115,29 @@
     }
 
     /**
-     * Discards the input after a malformed request until the client or the actor closes the connection: closing a
-     * socket with unread input would reset the connection, and the response would not arrive. Above a limit the input
-     * is read slowly, as a guard against clients that never stop sending.
+     * Discards the input that will not be answered, until the client or the actor closes the connection: closing a
+     * socket with unread input would reset the connection, and the response would not arrive. The end of the input
+     * shows that the client has gone, but only after all that it has sent before.
      */
     private void discardInput() {
         try {
             socket.setSoTimeout(NO_TIMEOUT);
             byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
             int discarded = 0;
-            int count = 0;
-            while (count >= 0) {
-                discarded = Math.min(FAST_DISCARD_BYTES, discarded + count);
-                if (discarded == FAST_DISCARD_BYTES) {
-                    Thread.sleep(SLOW_DISCARD_PAUSE_MILLIS);
+            for (int count = 0; count >= 0; count = socket.getInputStream().read(buffer)) {
+                discarded += count;
+                if (discarded >= maxDiscardedBetweenPauses()) {
+                    discarded = 0;
+                    Thread.sleep(DISCARD_PAUSE_MILLIS);
                 }
-                count = socket.getInputStream().read(buffer);
             }
         } catch (IOException | InterruptedException e) {
             // The connection is being closed anyway.
         }
     }
+
+    private int maxDiscardedBetweenPauses() {
+        boolean requestInProgress = connection.idleSinceMicros() == EvictionCandidate.BUSY;
+        return requestInProgress ? DISCARD_BYTES_BETWEEN_PAUSES : IDLE_DISCARD_BYTES_BETWEEN_PAUSES;
+    }
 }
--- a/src/test/java/magpiehub/RouterProcess.java
+++ b/src/test/java/magpiehub/RouterProcess.java
@@ -164,10 +164,15 @@
 
     /** Handles each upstream connection on a thread of its own, for as long as the upstream's socket is open. */
     void serveConnections(Consumer<Socket> handler) {
+        serveConnections(engine, handler);
+    }
+
+    /** Handles each connection to an upstream of the test on a thread of its own. */
+    void serveConnections(ServerSocket upstream, Consumer<Socket> handler) {
         threads.execute(() -> {
             try {
                 while (true) {
-                    Socket connection = engine.accept();
+                    Socket connection = upstream.accept();
                     threads.execute(() -> handler.accept(connection));
                 }
             } catch (IOException e) {
