Take no new process at an engine's address for the engine that was there

Cause: an endpoint's address was its own affair: two entries could name the same one, a connection that was being opened while its endpoint moved carried the request to the old address, and connections to the process before a restart were kept for the one after it.

Fix: an address belongs to the endpoint listed there last (UpstreamEndpoints); the address is checked again before a request is written to a new connection; kept connections are closed, and what was learnt of the process's streams is dropped, when the list gives another start time.

Without news from the list a process that takes over an address can't be told from the old one (open).

--- a/src/main/java/magpiehub/dispatch/LocalRequestClaims.java
+++ b/src/main/java/magpiehub/dispatch/LocalRequestClaims.java
@@ -4,7 +4,9 @@
 import java.util.Map;
 import magpiehub.concurrent.MonotonicClock;
 
-/** The claims of one process, in memory. Claims that nobody releases end after a time; the oldest make room for others. */
+/**
+ * The claims of one process, in memory. Claims that nobody releases end after a time; the oldest make room for others.
+ */
 final class LocalRequestClaims implements RequestClaims {
     /** Longer than a request and its repeats take. */
     static final long RETENTION_MICROS = 600_000_000;
--- a/src/main/java/magpiehub/upstream/RequestSender.java
+++ b/src/main/java/magpiehub/upstream/RequestSender.java
@@ -106,6 +106,12 @@
         if (usableEndpoint() == null) {
             return;
         }
+        if (hasEndpointMoved()) {
+            // Another process may have come up at the address while the connection was being opened.
+            socket.close();
+            openSocket();
+            return;
+        }
         if (context.clock().micros() >= execution.attempt().writeDeadlineMicros()) {
             execution.endBeforeStream(AttemptOutcome.MOOT);
             return;
--- a/src/main/java/magpiehub/upstream/ResponseReader.java
+++ b/src/main/java/magpiehub/upstream/ResponseReader.java
@@ -19,8 +19,8 @@
  * <p>A faulty upstream may send more bytes some milliseconds after a complete response. They must not pass for the
  * response to the next request. The time that has passed since the response does not show that there are none, since
  * this thread need not have run in the meantime: the whole process may have been stopped. Therefore the reader itself
- * waits for the {@linkplain #QUIET_PERIOD_MICROS quiet period}, then looks for bytes or an end of the input that it has not
- * read, and records that there are none; no request is written on the socket before that.
+ * waits for the {@linkplain #QUIET_PERIOD_MICROS quiet period}, then looks for bytes or an end of the input that it has
+ * not read, and records that there are none; no request is written on the socket before that.
  */
 final class ResponseReader implements Runnable {
     /** The time after a response within which a faulty upstream's further bytes arrive. */
--- a/src/main/java/magpiehub/upstream/UpstreamEndpoints.java
+++ b/src/main/java/magpiehub/upstream/UpstreamEndpoints.java
@@ -1,6 +1,7 @@
 package magpiehub.upstream;
 
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -13,6 +14,11 @@
  */
 final class UpstreamEndpoints {
     private final Map<String, UpstreamEndpoint> endpoints = new ConcurrentHashMap<>();
+    /**
+     * The id of the endpoint that was listed last at each address. An endpoint listed there before has gone, whether or
+     * not the list says so yet: what is sent to the address reaches the other process.
+     */
+    private final Map<String, String> ownersByAddress = new ConcurrentHashMap<>();
     /** From this time on no requests may be sent, because the endpoint list may be out of date. */
     private volatile long validUntilMicros = Long.MAX_VALUE;
 
@@ -24,7 +30,8 @@
     /** The endpoint with this id if a request may be sent to it now, or null. */
     UpstreamEndpoint findUsable(String id, long nowMicros) {
         UpstreamEndpoint endpoint = endpoints.get(id);
-        boolean usable = endpoint != null && endpoint.isUsable() && nowMicros < validUntilMicros;
+        boolean usable =
+                endpoint != null && endpoint.isUsable() && ownsAddress(id, endpoint) && nowMicros < validUntilMicros;
         return usable ? endpoint : null;
     }
 
@@ -35,21 +42,46 @@
     /** Whether the endpoint is known and accepts requests. */
     boolean acceptsRequests(String id) {
         UpstreamEndpoint endpoint = endpoints.get(id);
-        return endpoint != null && endpoint.acceptsRequests();
+        return endpoint != null && endpoint.acceptsRequests() && ownsAddress(id, endpoint);
     }
 
-    /** Adds or updates an endpoint; if the address is null, the known one is kept. */
+    private boolean ownsAddress(String id, UpstreamEndpoint endpoint) {
+        return endpoint.hostPort() == null
+                || ownersByAddress.getOrDefault(endpoint.hostPort(), id).equals(id);
+    }
+
+    /** Adds or updates an endpoint; if the address is null, the known one is kept. Called by one thread. */
     void update(String id, String hostPort, boolean acceptsRequests) {
-        endpoints.compute(id, (key, previous) -> UpstreamEndpoint.updated(previous, hostPort, acceptsRequests));
+        UpstreamEndpoint previous = endpoints.get(id);
+        UpstreamEndpoint updated = UpstreamEndpoint.updated(previous, hostPort, acceptsRequests);
+        String previousHostPort = previous == null ? null : previous.hostPort();
+        if (!Objects.equals(previousHostPort, updated.hostPort())) {
+            disownAddress(id, previousHostPort);
+            ownersByAddress.put(updated.hostPort(), id);
+        }
+        endpoints.put(id, updated);
+    }
+
+    private void disownAddress(String id, String hostPort) {
+        if (hostPort != null) {
+            ownersByAddress.remove(hostPort, id);
+        }
     }
 
-    /** Removes an endpoint, so that the map doesn't grow without bound. */
+    /** Removes an endpoint, so that the maps don't grow without bound. */
     void remove(String id) {
-        endpoints.remove(id);
+        UpstreamEndpoint removed = endpoints.remove(id);
+        if (removed != null) {
+            disownAddress(id, removed.hostPort());
+        }
     }
 
     /** Removes all endpoints except these. */
     void retain(Set<String> ids) {
-        endpoints.keySet().retainAll(ids);
+        for (String id : endpoints.keySet()) {
+            if (!ids.contains(id)) {
+                remove(id);
+            }
+        }
     }
 }
--- a/src/main/java/magpiehub/upstream/UpstreamPool.java
+++ b/src/main/java/magpiehub/upstream/UpstreamPool.java
@@ -1,6 +1,8 @@
 package magpiehub.upstream;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import magpiehub.concurrent.ActorThreadPool;
 import magpiehub.concurrent.CachedThreadPool;
@@ -36,6 +38,8 @@
 
     // Confined to the dispatcher's thread.
     private final IdleConnections idleConnections = new IdleConnections();
+    /** When each endpoint was started, according to the endpoint list. */
+    private final Map<String, Long> startTimesById = new HashMap<>();
     /** The number of connections in the pool, idle or in use. */
     private int connectionCount;
     /** The dispatcher's thread, recorded at its first call; used by assertions only. */
@@ -157,6 +161,18 @@
                 idleConnections.removeEndpoint(id);
             }
         }
+        endpoints.forEach(this::recordStart);
+        startTimesById.keySet().removeIf(id -> context.endpoints().find(id) == null);
+    }
+
+    /** Forgets what is known of an endpoint's process if another one has been started in its place. */
+    private void recordStart(Endpoint endpoint) {
+        Long previous = startTimesById.put(endpoint.id(), endpoint.startedAt());
+        if (previous != null && previous != endpoint.startedAt()) {
+            context.eventLog().log("engine-restarted", "engine", endpoint.id());
+            closeIdleConnections(endpoint.id());
+            context.doneMarkers().remove(endpoint.id());
+        }
     }
 
     @Override
--- a/src/test/java/magpiehub/upstream/UpstreamEndpointsTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamEndpointsTest.java
@@ -27,6 +27,21 @@
         assertFalse(endpoints.find("a").isUsable());
     }
 
+    @Test
+    void anAddressBelongsToTheEndpointThatWasListedThereLast() {
+        endpoints.update("a", "127.0.0.1:1", true);
+        endpoints.update("b", "127.0.0.1:1", true);
+        endpoints.update("a", "127.0.0.1:1", true);
+        assertNull(endpoints.findUsable("a", 0));
+        assertFalse(endpoints.acceptsRequests("a"));
+        assertEquals(endpoints.find("b"), endpoints.findUsable("b", 0));
+        endpoints.update("a", "127.0.0.1:2", true);
+        assertTrue(endpoints.acceptsRequests("a"));
+        endpoints.update("c", "127.0.0.1:2", true);
+        endpoints.retain(Set.of("a", "b"));
+        assertTrue(endpoints.acceptsRequests("a"), "the process that took the address has gone");
+    }
+
     @Test
     void anUnknownEndpointAcceptsNoRequests() {
         assertNull(endpoints.find("a"));
