--- a/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
+++ b/src/test/java/magpiehub/upstream/UpstreamPoolTest.java
@@ -183,7 +183,7 @@
             startRouter(upstream, true);
             first.connect(slow.getLocalSocketAddress());
             second.connect(slow.getLocalSocketAddress());
-            submit(new EventListener());
+            submit(new RecordingStreamListener(streams));
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
                 UpstreamMessages.readRequest(used);
@@ -261,7 +261,7 @@
         clock = stoppingClock;
         try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             startRouter(upstream, true);
-            EventListener first = new EventListener();
+            RecordingStreamListener first = new RecordingStreamListener(streams);
             submit(first);
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
@@ -271,7 +271,7 @@
                 stoppingClock.stopReaders();
                 used.getOutputStream().write(UpstreamMessages.response("first"));
                 awaitReuse();
-                EventListener second = new EventListener();
+                RecordingStreamListener second = new RecordingStreamListener(streams);
                 submit(second);
                 // The request arrives on the used connection or a new one.
                 try (Socket asked = readableOf(used, upstream)) {
@@ -289,7 +289,7 @@
     void aConnectionThatItsUpstreamHasClosedIsNotReused() throws Exception {
         try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             startRouter(upstream, true);
-            EventListener first = new EventListener();
+            RecordingStreamListener first = new RecordingStreamListener(streams);
             submit(first);
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
@@ -315,7 +315,7 @@
         try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             startRouter(upstream, true);
             pool.start();
-            EventListener listener = new EventListener();
+            RecordingStreamListener listener = new RecordingStreamListener(streams);
             submit(listener);
             upstream.setSoTimeout(60_000);
             try (Socket used = upstream.accept()) {
@@ -354,35 +354,6 @@
         return used;
     }
 
-    /** The client's side of a stream: collects the events until the stream has ended. */
-    private final class EventListener implements StreamListener {
-        final CompletableFuture<Void> begun = new CompletableFuture<>();
-        final CompletableFuture<String> events = new CompletableFuture<>();
-        private final StreamFlow flow = streams.openStream(0, -1, "1", () -> {});
-        private final StringBuilder received = new StringBuilder();
-
-        @Override
-        public void onEvent(byte[] event) {
-            received.append(new String(event, UTF_8));
-            begun.complete(null);
-        }
-
-        @Override
-        public void onEnd() {
-            events.complete(received.toString());
-        }
-
-        @Override
-        public void onFailure(byte[] error, StreamOutcome outcome) {
-            events.completeExceptionally(new IOException("the stream broke: " + outcome));
-        }
-
-        @Override
-        public StreamFlow flow() {
-            return flow;
-        }
-    }
-
     /** Responds with one event, followed by the given last chunk, which is empty for an incomplete stream. */
     private static void respond(ServerSocket upstream, String lastChunk) throws IOException {
         upstream.setSoTimeout(60_000);
