--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 	@timeout 90 java -Xmx1g -cp target/test-classes:target/magpiehub.jar \
 	    magpiehub.streaming.StreamFaultRun $(SEED) $(SCALE)
 
+# Faulty engines, clients that stay until the kill, signals in series: SEED is the first of RUNS seeds.
+.PHONY: proof-soak
+RUNS ?= 1
+proof-soak:
+	@java -Xmx512m -cp target/test-classes:target/magpiehub.jar magpiehub.SoakRun $(SEED) $(RUNS)
+
 # The registry client against a fake registry: SEED chooses the faults; SCALE is endpoints, changes, clients, complete clients.
 .PHONY: proof-registry
 SEED ?= 1
