--- a/src/test/java/magpiehub/SoakRun.java
+++ b/src/test/java/magpiehub/SoakRun.java
@@ -15,10 +15,11 @@
 
 /**
  * A router process between faulty engines and clients that keep their connections until the process is killed, with
- * reloads in series before that and, in some runs, a crowd of slow connections. The seed draws all faults. The rules are
- * checked against what engines and clients have recorded.
+ * reloads in series before that and, in some runs, a crowd of slow connections. The seed draws all faults. The rules
+ * are checked against what engines and clients have recorded.
  *
- * <p>Usage: {@code SoakRun FIRST_SEED [RUNS]}. A line for each run; the last one ends with {@code ok} or {@code broken}.
+ * <p>Usage: {@code SoakRun FIRST_SEED [RUNS]}. A line for each run; the last one ends with {@code ok} or
+ * {@code broken}.
  */
 public final class SoakRun {
     private static final int CLIENTS = 24;
