Leave ordinary load its threads where the memory limit is low

Found on reading the change: the bound on threads counts the whole heap as used, so that a limit of 128 or 160 MB left 256 or 362 threads, fewer than some hundred streams with their connections take, though such a load fits (soak: 69 to 103 MB). 512 threads are allowed in any case; at 192 MB the bound is as it was.

Measured: ThreadBudgetTest passes; SlowClientsMemoryTest is not touched by it (192 MB).

--- a/src/main/java/magpiehub/concurrent/ThreadBudget.java
+++ b/src/main/java/magpiehub/concurrent/ThreadBudget.java
@@ -12,8 +12,8 @@
     private static final int THREAD_BYTES = 96 * 1024;
     /** What the JVM occupies besides heap and threads. */
     private static final int JVM_BYTES = 64 * BYTES_PER_MB;
-    /** Fewer threads could not serve anybody, however little memory there is. */
-    private static final int MIN_THREADS = 256;
+    /** Ordinary load needs fewer; where the heap is not used up they fit into less memory, too. */
+    private static final int MIN_THREADS = 512;
 
     private final int maxThreads;
     private final AtomicInteger threads = new AtomicInteger();
